--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -13,29 +13,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from loomstand.interface import (
-    TENTHS_PER_S,
-    Abort,
-    Action,
-    Arrived,
-    Count,
-    Counted,
-    Deny,
-    Dispatch,
-    Effect,
-    Ended,
-    Entry,
-    Group,
-    Listed,
-    Note,
-    Outcome,
-    Phase,
-    Plan,
-    Settings,
-    Vanished,
-    Wake,
-    Woke,
-)
+from loomstand import interface as api
+from loomstand.interface import TENTHS_PER_S, Effect, Group, Outcome, Phase
 
 NOT_RUN = {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT}  # these prove it
 NEVER = -(1 << 60)
@@ -44,8 +23,6 @@
 class Histogram:
     """Times in bins that double in width, halved when full so that old times fade."""
 
-    __slots__ = ("bins", "count", "keep", "total")
-
     def __init__(self, keep: int) -> None:
         self.bins = [0.0] * 18  # the last begins at 13 s, past any client timeout seen
         self.count = self.total = 0.0
@@ -78,21 +55,19 @@
 class Loop:
     """The inboxes' loop, and what all parts read: the clock, the settings, chance and the reply."""
 
-    __slots__ = tuple("actions chance now ready settings started".split())
-
-    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.settings = settings
         self.chance = Random(seed).random
         self.now = self.started = now
         self.ready: deque[Part] = deque()
-        self.actions: list[Action] = []
+        self.actions: list[api.Action] = []
 
     def post(self, handler: Callable[..., None], *args: object) -> None:
         part = handler.__self__
         part.inbox.append((handler, args))
         self.ready.append(part)
 
-    def run(self) -> list[Action]:
+    def run(self) -> list[api.Action]:
         while self.ready:
             handler, args = self.ready.popleft().inbox.popleft()
             handler(*args)
@@ -103,8 +78,6 @@
 class Part:
     """An actor: an inbox and the loop that empties it."""
 
-    __slots__ = ("inbox", "loop")
-
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.inbox: deque[tuple[Callable[..., None], tuple[object, ...]]] = deque()
@@ -114,7 +87,7 @@
 class Job:
     """A req that is owed its answer, or whose dispatches are still out."""
 
-    note: Arrived
+    note: api.Arrived
     account: Account
     target: int
     worth: float
@@ -127,8 +100,6 @@
 class Row:
     """What the module reads of a frontend."""
 
-    __slots__ = tuple("effect group late longest target timeout times value window".split())
-
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
@@ -140,12 +111,7 @@
 class Account(Part):
     """A customer's smoothed bucket at this limiter, and its part of the quota."""
 
-    __slots__ = tuple(
-        "asked_at cap cap_at confirmed depth digest forgot idle k keeper last length level n offset "
-        "others out own pace plan rate split_at synced unsent used_at whole woken".split()
-    )
-
-    def __init__(self, loop: Loop, keeper: Keeper, note: Arrived, plan: Plan | None) -> None:
+    def __init__(self, loop: Loop, keeper: Keeper, note: api.Arrived, plan: api.Plan | None) -> None:
         super().__init__(loop)
         self.keeper, self.plan, self.digest = keeper, plan, note.digest
         self.n = max(1, note.set_size or loop.settings.limiters)
@@ -231,7 +197,7 @@
             if not self.woken:
                 self.woken = True
                 edge = self.length - (self.loop.now + self.offset) % self.length
-                self.loop.actions.append(Wake(edge, self.digest << 1))
+                self.loop.actions.append(api.Wake(edge, self.digest << 1))
             if self.unsent >= (self.depth - self.whole) / (2 * self.n):
                 self.sync()
         self.loop.post(desk.granted, job)
@@ -262,13 +228,13 @@
         """At the edge the last use is added; a call's time later the finished total is read."""
         self.woken = False
         self.roll()
-        self.loop.actions.append(Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
+        self.loop.actions.append(api.Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
 
     def read(self) -> None:
         self.roll()
         self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
 
-    def counted(self, k: int, step: float, got: Counted) -> None:
+    def counted(self, k: int, step: float, got: api.Counted) -> None:
         """A total came, or none."""
         self.roll()
         if got.outcome is not Outcome.PASSED:
@@ -304,10 +270,7 @@
     def split(self, own: float, total: float) -> None:
         """The design's re-split of the quota of one interval."""
         quota = self.rate * self.length
-        if total < quota:
-            part = own + (quota - total) / self.n
-        else:
-            part = quota * (own + 1) / (total + self.n)
+        part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
         self.pace = max(part, 1e-3) / self.length
         self.split_at = self.loop.now
 
@@ -315,8 +278,6 @@
 class Keeper(Part):
     """Makes the calls to the counter, and no more than it seems able to answer."""
 
-    __slots__ = ("pause", "until", "waiting", "waits")
-
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.waiting: dict[int, deque[tuple[Account, int, float]]] = {}
@@ -340,9 +301,9 @@
         self.waits += 1
         self.waiting.setdefault(name, deque()).append((account, k, step))
         keep = min(3 * account.length + TENTHS_PER_S, 60 * TENTHS_PER_S)
-        self.loop.actions.append(Count(name, step, keep))
+        self.loop.actions.append(api.Count(name, step, keep))
 
-    def counted(self, got: Counted) -> None:
+    def counted(self, got: api.Counted) -> None:
         calls = self.waiting.get(got.name)
         if not calls:
             return
@@ -363,19 +324,14 @@
 class Server(Part):
     """What is known of a server, from its outcomes alone."""
 
-    __slots__ = tuple(
-        "at cold_at cold_left cut_at entry flow flow_at heard limit out recent sent_at srv times trickle "
-        "trickle_at".split()
-    )
-
-    def __init__(self, loop: Loop, entry: Entry) -> None:
+    def __init__(self, loop: Loop, entry: api.Entry) -> None:
         super().__init__(loop)
         self.srv = entry.srv
         self.out: dict[tuple[int, int], int] = {}
         self.flow, self.flow_at = 0.0, loop.now
         self.fresh(entry)
 
-    def fresh(self, entry: Entry) -> None:
+    def fresh(self, entry: api.Entry) -> None:
         """A process that has just started is judged anew."""
         self.entry = entry
         self.times = Histogram(32)  # some ten seconds of one server's answers
@@ -385,7 +341,7 @@
         self.cold_left, self.cold_at = 0.0, self.loop.now
         self.trickle, self.trickle_at = 0.0, NEVER
 
-    def listed(self, entry: Entry) -> None:
+    def listed(self, entry: api.Entry) -> None:
         if entry.booted != self.entry.booted:
             self.fresh(entry)
         self.entry = entry
@@ -426,9 +382,9 @@
         self.flow_at = now
         self.cold_left -= 1
         self.out[req, number] = now
-        self.loop.actions.append(Dispatch(req, self.srv, expire))
+        self.loop.actions.append(api.Dispatch(req, self.srv, expire))
 
-    def ended(self, note: Ended, target: int) -> None:
+    def ended(self, note: api.Ended, target: int) -> None:
         self.out.pop((note.req, note.dispatch), None)
         now, outcome = self.loop.now, note.outcome
         if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF):
@@ -452,8 +408,6 @@
 class Desk(Part):
     """Takes reqs in, chooses servers, and gives every req its one final answer."""
 
-    __slots__ = tuple("accounts by_tag jobs keeper ranks rows servers spare times".split())
-
     def __init__(self, loop: Loop, keeper: Keeper) -> None:
         super().__init__(loop)
         self.keeper = keeper
@@ -466,7 +420,7 @@
         self.ranks: dict[float, float] = {}
         self.spare = 3.0
 
-    def listed(self, note: Listed) -> None:
+    def listed(self, note: api.Listed) -> None:
         for entry in note.entries:
             srv = self.servers.get(entry.srv)
             if srv is None:
@@ -478,10 +432,10 @@
             for srv in self.servers.values():
                 if srv.srv not in named and srv.entry.phase is not Phase.GONE:
                     e = srv.entry
-                    gone = Entry(e.srv, Phase.GONE, e.hall, e.kind, e.pod, e.hint, e.booted)
+                    gone = api.Entry(e.srv, Phase.GONE, e.hall, e.kind, e.pod, e.hint, e.booted)
                     self.loop.post(srv.listed, gone)
 
-    def arrived(self, note: Arrived) -> None:
+    def arrived(self, note: api.Arrived) -> None:
         account = self.accounts.get(note.customer)
         plans = self.loop.settings.plans
         plan = plans[note.plan] if 0 <= note.plan < len(plans) else None
@@ -504,7 +458,7 @@
     def denied(self, job: Job, wait: int) -> None:
         s = self.loop.settings
         job.done = True
-        self.loop.actions.append(Deny(job.note.req, min(wait, s.max_retry_after) if s.retry_after else 0))
+        self.loop.actions.append(api.Deny(job.note.req, min(wait, s.max_retry_after) if s.retry_after else 0))
         self.forget(job)
 
     def forget(self, job: Job) -> None:
@@ -603,7 +557,7 @@
         self.loop.post(srv.send, job.note.req, len(job.sent), expire)
         job.sent.append((srv.srv, now))
 
-    def ended(self, note: Ended) -> None:
+    def ended(self, note: api.Ended) -> None:
         job = self.jobs.get(note.req)
         srv = self.servers.get(note.srv)
         if job is None:
@@ -646,16 +600,16 @@
             self.denied(job, 0)
         else:
             job.done = True
-            self.loop.actions.append(Abort(job.note.req))
+            self.loop.actions.append(api.Abort(job.note.req))
             self.forget(job)
 
-    def vanished(self, note: Vanished) -> None:
+    def vanished(self, note: api.Vanished) -> None:
         job = self.jobs.get(note.req)
         if job is not None:
             job.done = True
             self.forget(job)
 
-    def woke(self, note: Woke) -> None:
+    def woke(self, note: api.Woke) -> None:
         account = self.by_tag.get(note.tag >> 1)
         if account is not None:
             self.loop.post(account.read if note.tag & 1 else account.edge)
@@ -664,23 +618,21 @@
 class Brain:
     """One limiter."""
 
-    __slots__ = ("desk", "handlers", "keeper", "loop")
-
-    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.loop = Loop(settings, seed, now)
         self.keeper = Keeper(self.loop)
         self.desk = Desk(self.loop, self.keeper)
         desk = self.desk
         self.handlers = {
-            Listed: desk.listed,
-            Arrived: desk.arrived,
-            Ended: desk.ended,
-            Vanished: desk.vanished,
-            Woke: desk.woke,
-            Counted: self.keeper.counted,
+            api.Listed: desk.listed,
+            api.Arrived: desk.arrived,
+            api.Ended: desk.ended,
+            api.Vanished: desk.vanished,
+            api.Woke: desk.woke,
+            api.Counted: self.keeper.counted,
         }
 
-    def handle(self, now: int, note: Note) -> list[Action]:
+    def handle(self, now: int, note: api.Note) -> list[api.Action]:
         self.loop.now = max(self.loop.now, now)
         handler = self.handlers.get(type(note))
         if handler:
