--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -104,9 +104,22 @@
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
         self.value, self.late = front.value, front.late_value
-        self.longest = 0
+        self.usual, self.votes = 0, 0
         self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
+    def age(self, left: int) -> int:
+        """How old a client's first try is, where the time left tells.
+
+        Most tries get the same time; a last one gets all that is left of the client timeout. The majority
+        vote finds the usual time; 1% covers the way here.
+        """
+        usual = abs(left - self.usual) < self.timeout // 100
+        self.votes += 1 if usual else -1
+        if self.votes < 0:
+            self.usual, self.votes = left, 1
+        self.votes = min(self.votes, 50)  # about the tries of a second: a change of habits is seen soon
+        return 0 if usual or self.votes <= 1 else max(0, self.timeout - left)
+
 
 class Account(Part):
     """A customer's smoothed bucket at this limiter, and its part of the quota."""
@@ -127,7 +140,7 @@
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
-        self.idle = 0
+        self.calm = False
         self.out = 0
         # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
         self.cap_at, self.cap = loop.started, 0.0
@@ -162,17 +175,17 @@
             self.k = k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
+                self.calm = False
 
     def room(self) -> float:
         """The burst this limiter may use: all of it while totals come, its part of it when they don't."""
-        if self.loop.now - self.synced <= self.length and not self.keeper.down():
+        if self.loop.now - self.synced <= self.length or self.calm:
             return self.depth
         return max(self.depth * min(1.0, self.pace / self.rate), 1.0)
 
     def ask(self, job: Job, desk: Desk) -> None:
         """One req per emission interval and a burst count; a full count denies at once."""
         plan, units = self.plan, job.note.units
-        self.idle = 0
         self.roll()
         fits = not plan or not plan.ceiling_rate or self.cap >= units
         if plan and plan.at_once and self.out >= max(1, plan.at_once // self.n):
@@ -184,7 +197,10 @@
             if self.loop.now - self.asked_at > 0.5 / self.rate:  # half an emission interval of the quota
                 self.sync()
         if not fits:
-            self.loop.post(desk.denied, job, wait)
+            why = "full count" if wait else "ceiling"
+            if wait and self.room() < self.depth:
+                why = "full count, old total"
+            self.loop.post(desk.denied, job, wait, why)
             return
         self.out += 1
         if plan and plan.ceiling_rate:
@@ -272,32 +288,42 @@
         quota = self.rate * self.length
         part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
         self.pace = max(part, 1e-3) / self.length
+        self.calm = total < 0.7 * quota
         self.split_at = self.loop.now
 
 
 class Keeper(Part):
-    """Makes the calls to the counter, and no more than it seems able to answer."""
+    """Makes the calls to the counter, no more at once than it answers in good time.
+
+    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take
+    long. It may hurt when a few calls are lost by chance: then use is added a little later.
+    """
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.waiting: dict[int, deque[tuple[Account, int, float]]] = {}
+        self.put_off: deque[tuple[Account, int, float]] = deque()
         self.waits = 0
-        self.pause = 0
-        self.until = NEVER
+        self.window = 8.0  # calls out at once; found within a second, so any small number will do
+        self.cut_at = self.called_at = NEVER
+        self.failed = 0
 
     def down(self) -> bool:
-        return self.pause > 0
+        return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
 
-    def free(self) -> bool:
-        # 12 calls out: at 2 ms a call some thousands a second; a slow counter is spared
-        return self.loop.settings.has_counter and self.waits < 12 and self.loop.now >= self.until
+    def free(self, share: float = 0.5) -> bool:
+        """Whether a call may go now; calls between the edges leave half of the window to others."""
+        if self.down() and self.loop.now - self.called_at < TENTHS_PER_S // 4:  # four a second find it back
+            return False
+        return self.loop.settings.has_counter and self.waits < max(1.0, share * self.window)
 
     def call(self, account: Account, k: int, step: float) -> None:
-        if not self.free():
-            if k == account.k:
-                account.unsent += step
+        if not self.free(1.0):
+            if self.loop.settings.has_counter and len(self.put_off) < 1000:  # far more than can be served
+                self.put_off.append((account, k, step))
             return
         name = account.name(k)
+        self.called_at = self.loop.now
         self.waits += 1
         self.waiting.setdefault(name, deque()).append((account, k, step))
         keep = min(3 * account.length + TENTHS_PER_S, 60 * TENTHS_PER_S)
@@ -311,13 +337,18 @@
         if not calls:
             del self.waiting[got.name]
         self.waits -= 1
-        if got.outcome is Outcome.PASSED:
-            self.pause = 0
-            self.until = NEVER
-        elif self.loop.now >= self.until:
-            # a silent or refusing counter is asked again after a pause that doubles, a second at most
-            self.pause = min(TENTHS_PER_S, max(500, 2 * self.pause))
-            self.until = self.loop.now + self.pause
+        now, limit = self.loop.now, self.loop.settings.count_timeout
+        self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
+        if self.failed or got.took > limit / 2:
+            if now - self.cut_at > limit:
+                self.window, self.cut_at = max(1.0, self.window * 0.7), now
+        elif got.took < limit / 4:
+            self.window = min(64.0, self.window + 1 / self.window)
+        while self.put_off and self.free(1.0):
+            late, old, more = self.put_off.popleft()
+            if old >= late.interval() - 1:
+                self.loop.post(self.call, late, old, more)
+                break
         self.loop.post(account.counted, k, step, got)
 
 
@@ -419,6 +450,8 @@
         self.times = Histogram(400)
         self.ranks: dict[float, float] = {}
         self.spare = 3.0
+        self.tally: dict[str, int] = {}
+        self.told = loop.now
 
     def listed(self, note: api.Listed) -> None:
         for entry in note.entries:
@@ -444,23 +477,30 @@
             self.accounts[note.customer] = self.by_tag[note.digest] = account
         row = self.rows[note.frontend]
         left = note.give_up - self.loop.now
-        row.longest = max(row.longest, left)
-        # a try that gets less time than others is a later one, cut by the client timeout: so its age is known
-        age = max(0, row.timeout - left) if left < 0.98 * row.longest else 0
+        age = row.age(left)
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
         job = Job(note, account, self.loop.now + row.target - age, worth)
         self.jobs[note.req] = job
         if left <= 0 or (age > row.target and row.late <= 0):
-            self.loop.post(self.denied, job, 0)
+            self.loop.post(self.denied, job, 0, "too old")
         else:
             self.loop.post(account.ask, job, self)
 
-    def denied(self, job: Job, wait: int) -> None:
+    def denied(self, job: Job, wait: int, why: str) -> None:
         s = self.loop.settings
+        self.note(why)
         job.done = True
         self.loop.actions.append(api.Deny(job.note.req, min(wait, s.max_retry_after) if s.retry_after else 0))
         self.forget(job)
 
+    def note(self, why: str) -> None:
+        """Counts what befell reqs, and tells the operators every five seconds."""
+        self.tally[why] = self.tally.get(why, 0) + 1
+        if self.loop.now >= self.told + 5 * TENTHS_PER_S:
+            self.loop.actions.append(api.Log(", ".join(f"{k} {v}" for k, v in sorted(self.tally.items()))))
+            self.told = self.loop.now
+            self.tally.clear()
+
     def forget(self, job: Job) -> None:
         if job.done and job.ended == len(job.sent):
             self.jobs.pop(job.note.req, None)
@@ -474,9 +514,10 @@
         srv = None if self.shed(job, out / limit if limit else 2.0) else self.pick(job)
         if srv is None:
             self.loop.post(job.account.unused, job.note.units)
-            self.loop.post(self.denied, job, 0)
+            self.loop.post(self.denied, job, 0, "servers full")
         else:
             self.spare = min(10.0, self.spare + 0.1)  # one further dispatch for ten first ones, ten at once
+            self.note("sent")
             self.dispatch(job, srv)
 
     def shed(self, job: Job, pressure: float) -> bool:
@@ -597,9 +638,10 @@
             or row.effect is Effect.REPLAYABLE
             or (row.effect is Effect.UNIQUED and row.group is Group.ALL)
         ):
-            self.denied(job, 0)
+            self.denied(job, 0, "given up")
         else:
             job.done = True
+            self.note("aborted")
             self.loop.actions.append(api.Abort(job.note.req))
             self.forget(job)
 
