--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -140,7 +140,7 @@
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
-        self.calm = False
+        self.calm, self.under = False, True
         self.out = 0
         # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
         self.cap_at, self.cap = loop.started, 0.0
@@ -175,7 +175,7 @@
             self.k = k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
-                self.calm = False
+                self.calm, self.under = False, True
 
     def room(self) -> float:
         """The burst this limiter may use: all of it while totals come, its part of it when they don't."""
@@ -274,7 +274,10 @@
             return
         others = max(known, got.total - own)
         self.whole = min(self.depth, self.whole + others - known)
-        self.level = self.whole
+        # Under quota all that is unused may be used here. Over quota the parts decide, and a limiter takes no
+        # more than its even share of what is unused: else all limiters would take the same unit at once.
+        mine = self.depth - (self.depth - self.whole) / self.n
+        self.level = self.whole if self.under else max(self.whole, min(self.level, mine))
         self.synced = self.loop.now
         if k == self.k:
             self.others = others
@@ -288,7 +291,7 @@
         quota = self.rate * self.length
         part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
         self.pace = max(part, 1e-3) / self.length
-        self.calm = total < 0.7 * quota
+        self.calm, self.under = total < 0.7 * quota, total < quota
         self.split_at = self.loop.now
 
 
@@ -428,11 +431,11 @@
             self.trickle = min(100.0, self.trickle * 2) if good else 1.0
             if outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
                 self.times.add(note.took)
-        if outcome is Outcome.PASSED and note.took < 0.5 * target:
+        if outcome is Outcome.PASSED and note.took < 0.3 * target:
             if len(self.out) + 1 >= 0.7 * self.limit:
                 self.limit = min(64.0, self.limit + 1 / self.limit)
-        elif (outcome is not Outcome.PASSED or note.took > 0.8 * target) and now - self.cut_at > note.took:
-            self.limit = max(1.0, self.limit * 0.7)
+        elif (outcome is not Outcome.PASSED or note.took > 0.5 * target) and now - self.cut_at > note.took:
+            self.limit = max(0.25, self.limit * 0.7)
             self.cut_at = now
 
 
@@ -531,7 +534,7 @@
         self.ranks[key] = self.ranks.get(key, 0.0) + 1
         if sum(self.ranks.values()) > 200:
             self.ranks = {w: n / 2 for w, n in self.ranks.items() if n >= 1}
-        return pressure > 0.8 + 0.2 * rank
+        return pressure > 0.6 + 0.4 * rank
 
     def pick(self, job: Job) -> Server | None:
         """The server with the shortest expected wait among those that may be used."""
@@ -553,7 +556,7 @@
         mean = self.times.mean(2000, 4)
         best, least = None, 0.0
         for v in well:
-            if len(v.out) >= v.limit or not self.cold_ok(v, warm):
+            if len(v.out) >= max(1.0, v.limit) or not self.cold_ok(v, warm):
                 continue
             cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out)) + v.quiet()
             if v.entry.hall != s.hall:
