--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from loomstand import interface as api
@@ -126,16 +126,16 @@
 
     def __init__(self, loop: Loop, keeper: Keeper, note: api.Arrived, plan: api.Plan | None) -> None:
         super().__init__(loop)
-        self.keeper, self.plan, self.digest = keeper, plan, note.digest
+        self.keeper, self.plan, self.digest, self.customer = keeper, plan, note.digest, note.customer
         self.n = max(1, note.set_size or loop.settings.limiters)
         self.rate = plan.rate / TENTHS_PER_S if plan else 0.0  # units a tenth of a millisecond
         self.depth = max(plan.burst, 1.0) if plan else 1.0  # one req and the burst count beyond it
         self.length = max(1, round(self.depth / self.rate)) if self.rate else 0
         self.offset = self.digest % self.length if self.length else 0  # spreads customers' edges
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
-        self.level = self.whole = 0.0
-        self.used_at = loop.now
-        self.synced = self.split_at = self.asked_at = NEVER
+        self.level = self.whole = self.meter = 0.0
+        self.used_at = self.taken_at = loop.now
+        self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
         self.k = self.interval()
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
@@ -143,6 +143,8 @@
         self.calm, self.under = False, True
         self.out = 0
         # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
+        self.cap_rate = plan.ceiling_rate / self.n / TENTHS_PER_S if plan else 0.0
+        self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
         self.cap_at, self.cap = loop.started, 0.0
 
     def interval(self) -> int:
@@ -158,18 +160,16 @@
         self.level = max(0.0, self.level - self.pace * gone)
         self.whole = max(0.0, self.whole - self.rate * gone)
         self.used_at = now
-        if self.plan and self.plan.ceiling_rate:
-            filled = self.plan.ceiling_rate / self.n / TENTHS_PER_S * (now - self.cap_at)
-            self.cap = min(self.plan.ceiling_depth / self.n, self.cap + filled)
+        if self.cap_rate:
+            self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.cap_at))
             self.cap_at = now
         k = self.interval()
         if k != self.k:
-            if k == self.k + 1:
-                self.last = (self.own, self.confirmed, self.others, self.forgot)
-                if self.unsent:
-                    self.loop.post(self.keeper.call, self, self.k, self.unsent)
-            else:
+            self.last = (self.own, self.confirmed, self.others, self.forgot)
+            if k > self.k + 1:
                 self.last = (0.0, 0.0, 0.0, True)
+            elif self.unsent:
+                self.loop.post(self.keeper.call, self, self.k, self.unsent)
             self.own = self.unsent = self.confirmed = self.others = 0.0
             self.forgot = False
             self.k = k
@@ -185,52 +185,42 @@
 
     def ask(self, job: Job, desk: Desk) -> None:
         """One req per emission interval and a burst count; a full count denies at once."""
-        plan, units = self.plan, job.note.units
+        units, most, wait = job.note.units, self.plan.at_once if self.plan else 0, 0
         self.roll()
-        fits = not plan or not plan.ceiling_rate or self.cap >= units
-        if plan and plan.at_once and self.out >= max(1, plan.at_once // self.n):
-            fits = False
-        wait = 0
+        fits = not (self.cap_rate and self.cap < units) and not (most and self.out >= max(1, most // self.n))
         if self.rate and self.level + units > self.room() + 1e-9:
             fits = False
             wait = round(min(1e9, (self.level + units - self.room()) / self.pace))
             if self.loop.now - self.asked_at > 0.5 / self.rate:  # half an emission interval of the quota
                 self.sync()
-        if not fits:
-            why = "full count" if wait else "ceiling"
-            if wait and self.room() < self.depth:
-                why = "full count, old total"
+        if fits:
+            self.loop.post(desk.granted, job)
+        else:
+            why = "ceiling" if not wait else "full count" if self.room() >= self.depth else "old total"
             self.loop.post(desk.denied, job, wait, why)
-            return
-        self.out += 1
-        if plan and plan.ceiling_rate:
-            self.cap -= units
-        if self.rate:
-            self.level += units
-            self.whole = min(self.depth, self.whole + units)
-            self.own += units
-            self.unsent += units
-            if not self.woken:
-                self.woken = True
-                edge = self.length - (self.loop.now + self.offset) % self.length
-                self.loop.actions.append(api.Wake(edge, self.digest << 1))
-            if self.unsent >= (self.depth - self.whole) / (2 * self.n):
-                self.sync()
-        self.loop.post(desk.granted, job)
 
-    def unused(self, units: float) -> None:
-        """The req that was let in could not be sent: it takes nothing."""
-        self.out -= 1
-        if self.plan and self.plan.ceiling_rate:
-            self.cap += units
-        if self.rate:
-            self.level = max(0.0, self.level - units)
-            self.whole = max(0.0, self.whole - units)
-            back = min(units, self.unsent)
-            self.own, self.unsent = max(0.0, self.own - units), self.unsent - back
+    def taken(self, units: float) -> None:
+        self.out += 1
+        self.taken_at = self.loop.now
+        self.cap -= units
+        if not self.rate:
+            return
+        self.level += units
+        self.whole = min(self.depth, self.whole + units)
+        self.own += units
+        self.unsent += units
+        if not self.woken:
+            self.arm()
+        if self.unsent >= (self.depth - self.whole) / (2 * self.n):
+            self.sync()
+
+    def arm(self) -> None:
+        """A timer for the next edge; 40 minutes is well under the longest that a front must take."""
+        self.woken = True
+        edge = self.length - (self.loop.now + self.offset) % self.length
+        self.loop.actions.append(api.Wake(min(edge, 2400 * TENTHS_PER_S), self.digest << 1))
 
     def free(self) -> None:
-        """A req that was let in has ended."""
         self.out -= 1
 
     def sync(self) -> None:
@@ -240,24 +230,39 @@
             step, self.unsent = self.unsent, 0.0
             self.loop.post(self.keeper.call, self, self.k, step)
 
-    def edge(self) -> None:
+    def edge(self, desk: Desk) -> None:
         """At the edge the last use is added; a call's time later the finished total is read."""
-        self.woken = False
         self.roll()
-        self.loop.actions.append(api.Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
+        self.woken = False
+        if self.last[0]:
+            self.loop.actions.append(api.Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
+        idle = self.loop.now - self.taken_at
+        if idle < 3 * self.length or self.out or (self.cap_rate and self.cap < self.cap_depth):
+            self.arm()
+        else:
+            self.loop.post(desk.drop, self)
 
     def read(self) -> None:
         self.roll()
         self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
 
+    def metered(self, percent: int) -> None:
+        """Where no total comes, the meter's use of the last period stands in for it."""
+        self.roll()
+        period = self.loop.settings.meter_period
+        if self.rate and self.loop.now - self.metered_at >= period:
+            self.metered_at = self.loop.now
+            quota = self.rate * self.length
+            self.meter += (percent / 100 * quota - self.meter) * min(1.0, period / self.length)
+            if self.keeper.down():
+                self.split(min(self.last[0], self.meter), self.meter)
+
     def counted(self, k: int, step: float, got: api.Counted) -> None:
         """A total came, or none."""
         self.roll()
         if got.outcome is not Outcome.PASSED:
             if got.outcome is not Outcome.NO_ANSWER and k == self.k:
-                self.unsent += (
-                    step  # surely not added; with no answer it may have been, so it is not sent again
-                )
+                self.unsent += step  # surely not added; one with no answer may have been and is not repeated
             return
         if k == self.k:
             self.confirmed += step
@@ -268,8 +273,7 @@
             return
         # A total below what surely was added means that the counter forgot: it must not swell a part.
         forgot = forgot or got.total < sure - 1e-6 or got.total < known - 1e-6
-        if k == self.k:
-            self.forgot = forgot
+        self.forgot = forgot if k == self.k else self.forgot
         if forgot:
             return
         others = max(known, got.total - own)
@@ -281,10 +285,10 @@
         self.synced = self.loop.now
         if k == self.k:
             self.others = others
-            return
-        self.last = (own, sure, others, forgot)
-        if not step:
-            self.split(own, max(got.total, own))
+        else:
+            self.last = (own, sure, others, forgot)
+            if not step:
+                self.split(own, max(got.total, own))
 
     def split(self, own: float, total: float) -> None:
         """The design's re-split of the quota of one interval."""
@@ -394,9 +398,7 @@
 
     def quiet(self) -> int:
         """How long something has been out with no sign of life."""
-        if not self.out:
-            return 0
-        return self.loop.now - max(self.heard, next(iter(self.out.values())))
+        return self.loop.now - max(self.heard, next(iter(self.out.values()))) if self.out else 0
 
     def aside(self) -> bool:
         return len(self.recent) >= 3 and sum(self.recent) * 2 < len(self.recent)
@@ -412,8 +414,7 @@
 
     def send(self, req: int, number: int, expire: int) -> None:
         now = self.loop.now
-        self.flow = self.flow * 0.5 ** ((now - self.flow_at) / 20_000) + 1
-        self.flow_at = now
+        self.flow, self.flow_at = self.flow * 0.5 ** ((now - self.flow_at) / 20_000) + 1, now
         self.cold_left -= 1
         self.out[req, number] = now
         self.loop.actions.append(api.Dispatch(req, self.srv, expire))
@@ -444,7 +445,7 @@
 
     def __init__(self, loop: Loop, keeper: Keeper) -> None:
         super().__init__(loop)
-        self.keeper = keeper
+        self.keeper, self.spare = keeper, 3.0
         self.rows = [Row(f) for f in loop.settings.frontends]
         self.accounts: dict[int, Account] = {}
         self.by_tag: dict[int, Account] = {}
@@ -452,9 +453,7 @@
         self.jobs: dict[int, Job] = {}
         self.times = Histogram(400)
         self.ranks: dict[float, float] = {}
-        self.spare = 3.0
-        self.tally: dict[str, int] = {}
-        self.told = loop.now
+        self.tally, self.told = {}, loop.now
 
     def listed(self, note: api.Listed) -> None:
         for entry in note.entries:
@@ -466,10 +465,8 @@
         if note.whole:
             named = {entry.srv for entry in note.entries}
             for srv in self.servers.values():
-                if srv.srv not in named and srv.entry.phase is not Phase.GONE:
-                    e = srv.entry
-                    gone = api.Entry(e.srv, Phase.GONE, e.hall, e.kind, e.pod, e.hint, e.booted)
-                    self.loop.post(srv.listed, gone)
+                if srv.srv not in named:
+                    self.loop.post(srv.listed, replace(srv.entry, phase=Phase.GONE))
 
     def arrived(self, note: api.Arrived) -> None:
         account = self.accounts.get(note.customer)
@@ -478,8 +475,7 @@
         if account is None:
             account = Account(self.loop, self.keeper, note, plan)
             self.accounts[note.customer] = self.by_tag[note.digest] = account
-        row = self.rows[note.frontend]
-        left = note.give_up - self.loop.now
+        row, left = self.rows[note.frontend], note.give_up - self.loop.now
         age = row.age(left)
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
         job = Job(note, account, self.loop.now + row.target - age, worth)
@@ -510,17 +506,22 @@
             if job.sent:
                 self.loop.post(job.account.free)
 
+    def drop(self, account: Account) -> None:
+        """A customer unseen for a few intervals starts even when it comes again."""
+        self.by_tag.pop(account.digest, None)
+        self.accounts.pop(account.customer, None)
+
     def granted(self, job: Job) -> None:
         usable = [s for s in self.servers.values() if s.entry.phase is Phase.LIVE]
         out = sum(len(s.out) for s in usable)
         limit = sum(s.limit for s in usable)
         srv = None if self.shed(job, out / limit if limit else 2.0) else self.pick(job)
         if srv is None:
-            self.loop.post(job.account.unused, job.note.units)
             self.loop.post(self.denied, job, 0, "servers full")
         else:
             self.spare = min(10.0, self.spare + 0.1)  # one further dispatch for ten first ones, ten at once
             self.note("sent")
+            self.loop.post(job.account.taken, job.note.units)
             self.dispatch(job, srv)
 
     def shed(self, job: Job, pressure: float) -> bool:
@@ -583,10 +584,11 @@
         for n in job.maybe:
             before, at = job.sent[n]
             old = self.servers[before].entry
-            same = row.group is Group.ALL or (
-                old.hall == srv.entry.hall if row.group is Group.HALL else old.pod == srv.entry.pod
-            )
-            if not same or self.loop.now - at >= row.window:
+            hall, pod = old.hall == srv.entry.hall, old.pod == srv.entry.pod
+            if (
+                not {Group.ALL: True, Group.HALL: hall, Group.POD: pod}[row.group]
+                or self.loop.now - at >= row.window
+            ):
                 return False
         return True
 
@@ -604,43 +606,37 @@
     def ended(self, note: api.Ended) -> None:
         job = self.jobs.get(note.req)
         srv = self.servers.get(note.srv)
-        if job is None:
+        if job is None or srv is None:
             return
         row = self.rows[job.note.frontend]
-        if srv is not None:
-            self.loop.post(srv.ended, note, row.target)
+        self.loop.post(srv.ended, note, row.target)
         job.ended += 1
+        if note.metered:
+            self.loop.post(job.account.metered, note.metered - 1)
         if note.outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             row.times.add(note.took)
             self.times.add(note.took)
         if note.outcome not in NOT_RUN:
             job.maybe.append(note.dispatch)
-        if note.final:
-            job.done = True
+        job.done = job.done or note.final
         if job.done or job.ended < len(job.sent):
             self.forget(job)
-            return
-        self.loop.post(self.again, job)
+        else:
+            self.again(job)
 
     def again(self, job: Job) -> None:
         """Another dispatch where it is allowed and can still be in time, else the final answer at once."""
-        if job.done:
-            return
         now, row = self.loop.now, self.rows[job.note.frontend]
         late = now + row.times.quantile(0.25, 0) > job.target and row.late <= 0
         if not late and now < job.note.give_up and len(job.sent) < self.loop.settings.try_limit:
             price = 1.0 if job.maybe else 0.2  # a dispatch that never ran cost the servers little
-            if self.spare >= price:
-                srv = self.pick(job)
-                if srv is not None:
-                    self.spare -= price
-                    self.dispatch(job, srv)
-                    return
-        if (
-            not job.maybe
-            or row.effect is Effect.REPLAYABLE
-            or (row.effect is Effect.UNIQUED and row.group is Group.ALL)
-        ):
+            srv = self.pick(job) if self.spare >= price else None
+            if srv is not None:
+                self.spare -= price
+                self.dispatch(job, srv)
+                return
+        anywhere = row.effect is Effect.UNIQUED and row.group is Group.ALL
+        if not job.maybe or row.effect is Effect.REPLAYABLE or anywhere:
             self.denied(job, 0, "given up")
         else:
             job.done = True
@@ -657,12 +653,10 @@
     def woke(self, note: api.Woke) -> None:
         account = self.by_tag.get(note.tag >> 1)
         if account is not None:
-            self.loop.post(account.read if note.tag & 1 else account.edge)
+            self.loop.post(account.read) if note.tag & 1 else self.loop.post(account.edge, self)
 
 
 class Brain:
-    """One limiter."""
-
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.loop = Loop(settings, seed, now)
         self.keeper = Keeper(self.loop)
