--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -30,12 +30,10 @@
 
     def add(self, took: int) -> None:
         self.bins[min(len(self.bins) - 1, took.bit_length())] += 1
-        self.count += 1
-        self.total += took
+        self.count, self.total = self.count + 1, self.total + took
         if self.count >= self.keep:
             self.bins = [b / 2 for b in self.bins]
-            self.count /= 2
-            self.total /= 2
+            self.count, self.total = self.count / 2, self.total / 2
 
     def mean(self, prior: float, weight: float) -> float:
         return (self.total + prior * weight) / (self.count + weight)
@@ -45,9 +43,8 @@
         if self.count < 4:  # fewer tell nothing of a tail
             return default
         for n, b in enumerate(self.bins):
-            if left <= b:
-                low = (1 << n) / 2
-                return low + low * left / b if b else low
+            if 0 < left <= b:
+                return (1 << n) / 2 * (1 + left / b)
             left -= b
         return default
 
@@ -103,21 +100,16 @@
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
-        self.value, self.late = front.value, front.late_value
-        self.usual, self.votes = 0, 0
+        self.value, self.late, self.usual, self.votes = front.value, front.late_value, 0, 0
         self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
     def age(self, left: int) -> int:
-        """How old a client's first try is, where the time left tells.
-
-        Most tries get the same time; a last one gets all that is left of the client timeout. The majority
-        vote finds the usual time; 1% covers the way here.
-        """
+        """The age of a client's first try: a last try gets all that is left of the client timeout, the others
+        the usual time, which a majority vote finds; 1% covers the way here. 0 where nothing tells."""
         usual = abs(left - self.usual) < self.timeout // 100
-        self.votes += 1 if usual else -1
+        self.votes = min(50, self.votes + (1 if usual else -1))  # some seconds' tries outvote an old habit
         if self.votes < 0:
             self.usual, self.votes = left, 1
-        self.votes = min(self.votes, 50)  # about the tries of a second: a change of habits is seen soon
         return 0 if usual or self.votes <= 1 else max(0, self.timeout - left)
 
 
@@ -136,12 +128,11 @@
         self.level = self.whole = self.meter = 0.0
         self.used_at = self.taken_at = loop.now
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
-        self.k = self.interval()
+        self.k, self.out = self.interval(), 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
         self.calm, self.under = False, True
-        self.out = 0
         # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
         self.cap_rate = plan.ceiling_rate / self.n / TENTHS_PER_S if plan else 0.0
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
@@ -158,8 +149,7 @@
         now = self.loop.now
         gone = now - self.used_at
         self.level = max(0.0, self.level - self.pace * gone)
-        self.whole = max(0.0, self.whole - self.rate * gone)
-        self.used_at = now
+        self.whole, self.used_at = max(0.0, self.whole - self.rate * gone), now
         if self.cap_rate:
             self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.cap_at))
             self.cap_at = now
@@ -171,8 +161,7 @@
             elif self.unsent:
                 self.loop.post(self.keeper.call, self, self.k, self.unsent)
             self.own = self.unsent = self.confirmed = self.others = 0.0
-            self.forgot = False
-            self.k = k
+            self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
                 self.calm, self.under = False, True
@@ -200,15 +189,12 @@
             self.loop.post(desk.denied, job, wait, why)
 
     def taken(self, units: float) -> None:
-        self.out += 1
-        self.taken_at = self.loop.now
-        self.cap -= units
+        self.out, self.taken_at, self.cap = self.out + 1, self.loop.now, self.cap - units
         if not self.rate:
             return
         self.level += units
         self.whole = min(self.depth, self.whole + units)
-        self.own += units
-        self.unsent += units
+        self.own, self.unsent = self.own + units, self.unsent + units
         if not self.woken:
             self.arm()
         if self.unsent >= (self.depth - self.whole) / (2 * self.n):
@@ -287,7 +273,7 @@
             self.others = others
         else:
             self.last = (own, sure, others, forgot)
-            if not step:
+            if not step:  # a read at the edge
                 self.split(own, max(got.total, own))
 
     def split(self, own: float, total: float) -> None:
@@ -309,11 +295,10 @@
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.waiting: dict[int, deque[tuple[Account, int, float]]] = {}
-        self.put_off: deque[tuple[Account, int, float]] = deque()
+        self.put_off: deque[tuple[Account, int, float]] = deque(maxlen=500)  # more would come too late
         self.waits = 0
         self.window = 8.0  # calls out at once; found within a second, so any small number will do
-        self.cut_at = self.called_at = NEVER
-        self.failed = 0
+        self.cut_at, self.called_at, self.failed = NEVER, NEVER, 0
 
     def down(self) -> bool:
         return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
@@ -326,8 +311,7 @@
 
     def call(self, account: Account, k: int, step: float) -> None:
         if not self.free(1.0):
-            if self.loop.settings.has_counter and len(self.put_off) < 1000:  # far more than can be served
-                self.put_off.append((account, k, step))
+            self.put_off.append((account, k, step))
             return
         name = account.name(k)
         self.called_at = self.loop.now
@@ -337,25 +321,20 @@
         self.loop.actions.append(api.Count(name, step, keep))
 
     def counted(self, got: api.Counted) -> None:
-        calls = self.waiting.get(got.name)
-        if not calls:
+        if not self.waiting.get(got.name):
             return
-        account, k, step = calls.popleft()
-        if not calls:
+        account, k, step = self.waiting[got.name].popleft()
+        if not self.waiting[got.name]:
             del self.waiting[got.name]
         self.waits -= 1
         now, limit = self.loop.now, self.loop.settings.count_timeout
         self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
-        if self.failed or got.took > limit / 2:
-            if now - self.cut_at > limit:
-                self.window, self.cut_at = max(1.0, self.window * 0.7), now
-        elif got.took < limit / 4:
+        if (self.failed or got.took > limit / 2) and now - self.cut_at > limit:
+            self.window, self.cut_at = max(1.0, self.window * 0.7), now
+        elif not self.failed and got.took < limit / 4:
             self.window = min(64.0, self.window + 1 / self.window)
-        while self.put_off and self.free(1.0):
-            late, old, more = self.put_off.popleft()
-            if old >= late.interval() - 1:
-                self.loop.post(self.call, late, old, more)
-                break
+        if self.put_off:
+            self.loop.post(self.call, *self.put_off.popleft())
         self.loop.post(account.counted, k, step, got)
 
 
@@ -364,9 +343,8 @@
 
     def __init__(self, loop: Loop, entry: api.Entry) -> None:
         super().__init__(loop)
-        self.srv = entry.srv
+        self.srv, self.flow, self.flow_at = entry.srv, 0.0, loop.now
         self.out: dict[tuple[int, int], int] = {}
-        self.flow, self.flow_at = 0.0, loop.now
         self.fresh(entry)
 
     def fresh(self, entry: api.Entry) -> None:
@@ -386,8 +364,7 @@
 
     def warmth(self) -> float:
         """The share of its work that it can do for sure."""
-        s = self.loop.settings
-        age = self.loop.now - self.entry.booted
+        s, age = self.loop.settings, self.loop.now - self.entry.booted
         if not self.entry.booted or age >= s.cold:
             return 1.0
         return s.cold_from + (1 - s.cold_from) * max(0, age) / s.cold
@@ -425,19 +402,18 @@
         if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF):
             return
         if outcome not in (Outcome.NO_ANSWER, Outcome.NO_CONNECTION):
-            self.heard = now
+            self.heard = now  # a sign of life
+        good = outcome is Outcome.PASSED
         if outcome is not Outcome.TURNED_AWAY:
-            good = outcome is Outcome.PASSED
             self.recent.append(good)
             self.trickle = min(100.0, self.trickle * 2) if good else 1.0
             if outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
                 self.times.add(note.took)
-        if outcome is Outcome.PASSED and note.took < 0.3 * target:
-            if len(self.out) + 1 >= 0.7 * self.limit:
-                self.limit = min(64.0, self.limit + 1 / self.limit)
-        elif (outcome is not Outcome.PASSED or note.took > 0.5 * target) and now - self.cut_at > note.took:
-            self.limit = max(0.25, self.limit * 0.7)
-            self.cut_at = now
+        # far below the target, so that the wait of all limiters' reqs together stays below it
+        if good and note.took < 0.3 * target and len(self.out) + 1 >= 0.7 * self.limit:
+            self.limit = min(64.0, self.limit + 1 / self.limit)
+        elif (not good or note.took > 0.5 * target) and now - self.cut_at > note.took:
+            self.limit, self.cut_at = max(0.25, self.limit * 0.7), now
 
 
 class Desk(Part):
@@ -469,8 +445,7 @@
                     self.loop.post(srv.listed, replace(srv.entry, phase=Phase.GONE))
 
     def arrived(self, note: api.Arrived) -> None:
-        account = self.accounts.get(note.customer)
-        plans = self.loop.settings.plans
+        account, plans = self.accounts.get(note.customer), self.loop.settings.plans
         plan = plans[note.plan] if 0 <= note.plan < len(plans) else None
         if account is None:
             account = Account(self.loop, self.keeper, note, plan)
@@ -497,8 +472,7 @@
         self.tally[why] = self.tally.get(why, 0) + 1
         if self.loop.now >= self.told + 5 * TENTHS_PER_S:
             self.loop.actions.append(api.Log(", ".join(f"{k} {v}" for k, v in sorted(self.tally.items()))))
-            self.told = self.loop.now
-            self.tally.clear()
+            self.tally, self.told = {}, self.loop.now
 
     def forget(self, job: Job) -> None:
         if job.done and job.ended == len(job.sent):
@@ -513,9 +487,8 @@
 
     def granted(self, job: Job) -> None:
         usable = [s for s in self.servers.values() if s.entry.phase is Phase.LIVE]
-        out = sum(len(s.out) for s in usable)
-        limit = sum(s.limit for s in usable)
-        srv = None if self.shed(job, out / limit if limit else 2.0) else self.pick(job)
+        pressure = sum(len(s.out) for s in usable) / max(0.1, sum(s.limit for s in usable))
+        srv = None if self.shed(job, pressure) else self.pick(job)
         if srv is None:
             self.loop.post(self.denied, job, 0, "servers full")
         else:
@@ -550,10 +523,10 @@
             well = live  # a trouble common to many is not theirs: nobody is set aside
         elif row.effect is Effect.REPLAYABLE:
             for v in live:
-                if v.aside() and not v.out and now - v.trickle_at > TENTHS_PER_S / max(v.trickle, 1.0):
+                rested = now - v.trickle_at > TENTHS_PER_S / max(v.trickle, 1.0)
+                if v.aside() and not v.out and rested and self.cold_ok(v, warm):
                     v.trickle_at = now
-                    if self.cold_ok(v, warm):
-                        return v
+                    return v
         mean = self.times.mean(2000, 4)
         best, least = None, 0.0
         for v in well:
@@ -576,21 +549,14 @@
 
     def may_repeat(self, job: Job, srv: Server) -> bool:
         """Whether no effect can come twice if the req goes to this server."""
-        row = self.rows[job.note.frontend]
+        row, here = self.rows[job.note.frontend], srv.entry
         if not job.maybe or row.effect is Effect.REPLAYABLE:
             return True
-        if row.effect is Effect.NON_REPLAYABLE:
-            return False
-        for n in job.maybe:
-            before, at = job.sent[n]
-            old = self.servers[before].entry
-            hall, pod = old.hall == srv.entry.hall, old.pod == srv.entry.pod
-            if (
-                not {Group.ALL: True, Group.HALL: hall, Group.POD: pod}[row.group]
-                or self.loop.now - at >= row.window
-            ):
-                return False
-        return True
+        before = [(self.servers[job.sent[n][0]].entry, job.sent[n][1]) for n in job.maybe]
+        hall, pod = all(e.hall == here.hall for e, _ in before), all(e.pod == here.pod for e, _ in before)
+        known = all(self.loop.now - at < row.window for _, at in before)
+        same = {Group.ALL: True, Group.HALL: hall, Group.POD: pod}[row.group]
+        return row.effect is Effect.UNIQUED and known and same
 
     def dispatch(self, job: Job, srv: Server) -> None:
         now, row = self.loop.now, self.rows[job.note.frontend]
@@ -660,8 +626,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.loop = Loop(settings, seed, now)
         self.keeper = Keeper(self.loop)
-        self.desk = Desk(self.loop, self.keeper)
-        desk = self.desk
+        self.desk = desk = Desk(self.loop, self.keeper)
         self.handlers = {
             api.Listed: desk.listed,
             api.Arrived: desk.arrived,
