--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -411,7 +411,7 @@
                 self.times.add(note.took)
         # far below the target, so that the wait of all limiters' reqs together stays below it
         if good and note.took < 0.3 * target and len(self.out) + 1 >= 0.7 * self.limit:
-            self.limit = min(64.0, self.limit + 1 / self.limit)
+            self.limit = min(64.0, self.limit + 0.3 / max(1.0, self.limit))  # a third of a dispatch a round
         elif (not good or note.took > 0.5 * target) and now - self.cut_at > note.took:
             self.limit, self.cut_at = max(0.25, self.limit * 0.7), now
 
