--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -428,7 +428,7 @@
         self.servers: dict[int, Server] = {}
         self.jobs: dict[int, Job] = {}
         self.times = Histogram(400)
-        self.ranks: dict[float, float] = {}
+        self.best = 1e-9
         self.tally, self.told = {}, loop.now
 
     def listed(self, note: api.Listed) -> None:
@@ -498,17 +498,13 @@
             self.dispatch(job, srv)
 
     def shed(self, job: Job, pressure: float) -> bool:
-        """While the servers are nearly full, low value goes first."""
-        row = self.rows[job.note.frontend]
-        worth = job.worth / row.times.mean(2000, 4)
-        low = sum(n for w, n in self.ranks.items() if w < 0.9 * worth)
-        same = sum(n for w, n in self.ranks.items() if 0.9 * worth <= w <= 1.1 * worth)
-        rank = (low + same * self.loop.chance()) / max(1.0, sum(self.ranks.values()))
-        key = float(f"{worth:.1g}")
-        self.ranks[key] = self.ranks.get(key, 0.0) + 1
-        if sum(self.ranks.values()) > 200:
-            self.ranks = {w: n / 2 for w, n in self.ranks.items() if n >= 1}
-        return pressure > 0.6 + 0.4 * rank
+        """The fuller the servers, the more value for its work a req must bring, against the best seen lately.
+
+        Guards against overload of any cause; it may hurt where pressure is high with no late answers.
+        """
+        worth = job.worth / self.rows[job.note.frontend].times.mean(2000, 4)
+        self.best = max(worth, self.best * 0.999)  # halved in some 700 reqs
+        return pressure > 0.3 + 0.7 * worth / self.best
 
     def pick(self, job: Job) -> Server | None:
         """The server with the shortest expected wait among those that may be used."""
