Age of a try: a time left that many tries have tells nothing

Told from quota trouble by playing the batches to one instance: the bucket of the denied customer was empty.

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -100,17 +100,20 @@
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
-        self.value, self.late, self.usual, self.votes = front.value, front.late_value, 0, 0
+        self.value, self.late, self.marked = front.value, front.late_value, False
+        self.lefts = [0.0] * 64  # how many tries had so much time left
         self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
-    def age(self, left: int) -> int:
-        """The age of a client's first try: a last try gets all that is left of the client timeout, the others
-        the usual time, which a majority vote finds; 1% covers the way here. 0 where nothing tells."""
-        usual = abs(left - self.usual) < self.timeout // 100
-        self.votes = min(50, self.votes + (1 if usual else -1))  # some seconds' tries outvote an old habit
-        if self.votes < 0:
-            self.usual, self.votes = left, 1
-        return 0 if usual or self.votes <= 1 else max(0, self.timeout - left)
+    def age(self, left: int, retry: bool) -> int:
+        """The age of a client's first try, 0 where nothing tells: a try gets a usual time, or all that is left
+        of the client timeout, and a time left that many tries have is a usual one."""
+        n = max(0, min(63, 64 * left // (self.timeout + 1)))
+        self.lefts[n] += 1
+        share, self.marked = self.lefts[n] / sum(self.lefts), self.marked or retry
+        if sum(self.lefts) >= 500:  # some seconds' tries
+            self.lefts = [m / 2 for m in self.lefts]
+        # four times what each bin would get if ages were spread evenly
+        return 0 if share > 4 / 64 or (self.marked and not retry) else max(0, self.timeout - left)
 
 
 class Account(Part):
@@ -451,7 +454,7 @@
             account = Account(self.loop, self.keeper, note, plan)
             self.accounts[note.customer] = self.by_tag[note.digest] = account
         row, left = self.rows[note.frontend], note.give_up - self.loop.now
-        age = row.age(left)
+        age = row.age(left, note.retry)
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
         job = Job(note, account, self.loop.now + row.target - age, worth)
         self.jobs[note.req] = job
