The whole unused burst only under 0.8 of the quota

Cause: a heavy customer held to its quota shows a total just under it every other interval, and was then let in by every limiter that saw the same unused unit.

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -105,7 +105,7 @@
         self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
     def age(self, left: int, retry: bool) -> int:
-        """The age of a client's first try, 0 where nothing tells: a try gets a usual time, or all that is left
+        """The age of a client's first try, 0 where nothing tells: a try gets a usual time or all that is left
         of the client timeout, and a time left that many tries have is a usual one."""
         n = max(0, min(63, 64 * left // (self.timeout + 1)))
         self.lefts[n] += 1
@@ -284,7 +284,7 @@
         quota = self.rate * self.length
         part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
         self.pace = max(part, 1e-3) / self.length
-        self.calm, self.under = total < 0.7 * quota, total < quota
+        self.calm, self.under = total < 0.7 * quota, total < 0.8 * quota
         self.split_at = self.loop.now
 
 
