--- a/loomstand/adapter/wire.py
+++ b/loomstand/adapter/wire.py
@@ -204,4 +204,4 @@
     | TallyBack
 )
 
-line_decoder = msgspec.json.Decoder(Line, strict=False)
+line_decoder = msgspec.json.Decoder(Line)
