--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -561,8 +561,8 @@
         now, row = self.loop.now, self.rows[job.note.frontend]
         expire = job.note.give_up
         if row.effect is Effect.REPLAYABLE and len(job.sent) + 1 < self.loop.settings.try_limit:
-            # twice the time that nearly all answers take: whoever is silent so long leaves time for another
-            wait = 2 * row.times.quantile(0.97, row.target / 4)
+            # three times what nearly all answers take: whoever is silent so long leaves time for another
+            wait = 3 * row.times.quantile(0.97, row.target / 4)
             if now + wait + row.times.mean(row.target / 4, 1) < job.target:
                 expire = min(expire, now + round(wait))
         self.loop.post(srv.send, job.note.req, len(job.sent), expire)
