--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -6,7 +6,7 @@
 from helpers import FRONTENDS, PLANS, S, alone, arrival, entry, pick
 
 from loomstand import interface as api
-from loomstand.brain import Account, Brain, Keeper, Loop, Row
+from loomstand.brain import Account, Brain, Job, Keeper, Loop, Row
 from loomstand.interface import Outcome
 
 
@@ -133,3 +133,23 @@
     first = [t for srv, t in sent if srv == 2 and t <= 102 * S]
     assert len(first) <= 0.6 * 1.3 * 10 * 2 + 1  # 0.6 of a peer's ten a second, a little warmer, two seconds
     assert sum(1 for srv, _ in sent if srv == 2) > len(first)
+
+
+def test_a_small_window_grows_slowly() -> None:
+    """Found by i221f4c: a window under one grew by one over itself on every quick answer."""
+    brain = alone(servers=1)
+    srv = brain.desk.servers[0]
+    srv.limit = 0.5
+    brain.handle(0, arrival(1, 0))
+    srv.send(2, 0, S)
+    srv.ended(api.Ended(2, 0, 0, Outcome.PASSED, 100, True, 0, 0.0), S)
+    assert srv.limit == pytest.approx(0.8)
+
+
+def test_low_value_goes_first_as_servers_fill() -> None:
+    """Found by i221f4c: reqs of little value for their work held the servers while dear ones were denied."""
+    desk = alone().desk
+    cheap, dear = (Job(arrival(n, 0), desk, 0, worth) for n, worth in enumerate((1.0, 5.0)))
+    assert not desk.shed(dear, 0.6)
+    assert desk.shed(cheap, 0.6)
+    assert not desk.shed(cheap, 0.3)
