--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -162,9 +162,11 @@
             self.last = (self.own, self.confirmed, self.others, self.forgot)
             if k > self.k + 1:
                 self.last = (0.0, 0.0, 0.0, True)
-            elif self.unsent:
+            elif self.unsent and self.keeper.free():
+                self.keeper.left -= 1
                 self.loop.post(self.keeper.call, self, self.k, self.unsent)
-            self.own = self.unsent = self.confirmed = self.others = 0.0
+                self.unsent = 0.0
+            self.own, self.confirmed, self.others = self.unsent, 0.0, 0.0  # the rest is added to this interval
             self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
@@ -185,8 +187,9 @@
         if self.rate and self.level + units > room + 1e-9:
             fits = False
             wait = round(min(1e9, (self.level + units - room) / self.pace))
-            if self.loop.now - self.asked_at > 0.5 / self.rate:  # half an emission interval of the quota
-                self.sync()
+            # half an emission interval of the quota, and no use of others' waits
+            if self.loop.now - self.asked_at > 0.5 / self.rate and not self.keeper.due:
+                self.loop.post(self.keeper.want, self)
         if fits:
             self.loop.post(desk.granted, job)
         else:
@@ -203,7 +206,7 @@
         if not self.woken:
             self.arm()
         if self.unsent >= (self.depth - self.whole) / (2 * self.n):
-            self.sync()
+            self.loop.post(self.keeper.want, self)
 
     def arm(self) -> None:
         """A timer for the next edge; 40 minutes is well under the longest that a front must take."""
@@ -214,12 +217,12 @@
     def free(self) -> None:
         self.out -= 1
 
-    def sync(self) -> None:
+    def report(self) -> None:
         """Adds the new use to the running interval's name and reads its total."""
-        if self.keeper.free():
-            self.asked_at = self.loop.now
-            step, self.unsent = self.unsent, 0.0
-            self.loop.post(self.keeper.call, self, self.k, step)
+        self.roll()
+        self.asked_at = self.loop.now
+        step, self.unsent = self.unsent, 0.0
+        self.loop.post(self.keeper.call, self, self.k, step)
 
     def edge(self, desk: Desk) -> None:
         """At the edge the last use is added; a call's time later the finished total is read."""
@@ -235,7 +238,9 @@
 
     def read(self) -> None:
         self.roll()
-        self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
+        if not self.keeper.due and self.keeper.free():
+            self.keeper.left -= 1
+            self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
 
     def metered(self, percent: int) -> None:
         """Where no total comes, the meter's use of the last period stands in for it."""
@@ -291,36 +296,47 @@
 
 
 class Keeper(Part):
-    """Makes the calls to the counter, no more at once than it answers in good time.
+    """Makes the calls to the counter, as often as this limiter's share of it bears.
 
     Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take
-    long. It may hurt when a few calls are lost by chance: then use is added a little later.
+    long, and all limiters slow down together. It may hurt when a few calls are lost by chance: then use is
+    added a little later.
     """
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.waiting: dict[int, deque[tuple[Account, int, float]]] = {}
-        self.put_off: deque[tuple[Account, int, float]] = deque(maxlen=500)  # more would come too late
-        self.waits = 0
-        self.window = 8.0  # calls out at once; found within a second, so any small number will do
-        self.cut_at, self.called_at, self.failed = NEVER, NEVER, 0
+        self.due: dict[Account, None] = {}  # whose use or question waits for a call, the newest last
+        # calls a tenth: some hundred a second by all limiters at first; found within seconds
+        self.start = self.pace = 300 / TENTHS_PER_S / max(1, loop.settings.limiters)
+        self.left, self.left_at, self.failed = 1.0, loop.now, 0
 
     def down(self) -> bool:
         return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
 
-    def free(self, share: float = 0.5) -> bool:
-        """Whether a call may go now; calls between the edges leave half of the window to others."""
-        if self.down() and self.loop.now - self.called_at < TENTHS_PER_S // 4:  # four a second find it back
-            return False
-        return self.loop.settings.has_counter and self.waits < max(1.0, share * self.window)
+    def free(self) -> bool:
+        """Whether a call may go now."""
+        now = self.loop.now
+        most = max(1.0, 2000 * self.pace)  # a fifth of a second's calls at once
+        self.left, self.left_at = min(most, self.left + self.pace * (now - self.left_at)), now
+        return self.loop.settings.has_counter and self.left >= 1
+
+    def want(self, account: Account) -> None:
+        """The newest go first; one that has waited long is of little use, its use goes with its next call."""
+        self.due.pop(account, None)
+        self.due[account] = None
+        if len(self.due) > 30:  # some seconds' calls
+            del self.due[next(iter(self.due))]
+        self.serve()
+
+    def serve(self) -> None:
+        while self.due and self.free():
+            self.left -= 1
+            account, _ = self.due.popitem()
+            self.loop.post(account.report)
 
     def call(self, account: Account, k: int, step: float) -> None:
-        if not self.free(1.0):
-            self.put_off.append((account, k, step))
-            return
         name = account.name(k)
-        self.called_at = self.loop.now
-        self.waits += 1
         self.waiting.setdefault(name, deque()).append((account, k, step))
         keep = min(3 * account.length + TENTHS_PER_S, 60 * TENTHS_PER_S)
         self.loop.actions.append(api.Count(name, step, keep))
@@ -331,15 +347,13 @@
         account, k, step = self.waiting[got.name].popleft()
         if not self.waiting[got.name]:
             del self.waiting[got.name]
-        self.waits -= 1
-        now, limit = self.loop.now, self.loop.settings.count_timeout
+        limit = self.loop.settings.count_timeout
         self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
-        if (self.failed or got.took > limit / 2) and now - self.cut_at > limit:
-            self.window, self.cut_at = max(1.0, self.window * 0.7), now
-        elif not self.failed and got.took < limit / 4:
-            self.window = min(64.0, self.window + 1 / self.window)
-        if self.put_off:
-            self.loop.post(self.call, *self.put_off.popleft())
+        if self.failed or got.took > limit / 4:
+            # a fourth of the first pace is enough to find the counter back, and makes no wave then
+            self.pace = max(self.start / 4, self.pace * 0.7)
+        elif self.left < 1:
+            self.pace *= 1.15  # so that about a fourth of the calls are slow where all want more
         self.loop.post(account.counted, k, step, got)
 
 
@@ -644,4 +658,5 @@
         handler = self.handlers.get(type(note))
         if handler:
             self.loop.post(handler, note)
+        self.loop.post(self.keeper.serve)
         return self.loop.run()
