--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -18,6 +18,7 @@
 
 NOT_RUN = {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT}  # these prove it
 NEVER = -(1 << 60)
+TRY = 1000  # a name counts use in its units and tries in its thousands: a total shows both
 
 
 class Histogram:
@@ -130,10 +131,11 @@
         self.offset = self.digest % self.length if self.length else 0  # spreads customers' edges
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
         self.level = self.whole = self.meter = 0.0
-        self.used_at = self.taken_at = loop.now
+        self.used_at = loop.now
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
         self.k, self.out = self.interval(), 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
+        self.tries, self.asked = 0, 0.0  # tries not yet told; units a tenth asked at all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
         self.calm, self.under = False, True
@@ -164,8 +166,8 @@
                 self.last = (0.0, 0.0, 0.0, True)
             elif self.unsent and self.keeper.free():
                 self.keeper.left -= 1
-                self.loop.post(self.keeper.call, self, self.k, self.unsent)
-                self.unsent = 0.0
+                self.loop.post(self.keeper.call, self, self.k, self.unsent + TRY * min(99, self.tries))
+                self.unsent, self.tries = 0.0, 0
             self.own, self.confirmed, self.others = self.unsent, 0.0, 0.0  # the rest is added to this interval
             self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
@@ -184,9 +186,10 @@
         self.roll()
         fits = not (self.cap_rate and self.cap < units) and not (most and self.out >= max(1, most // self.n))
         room = self.room() if self.rate else self.depth
-        if self.rate and self.level + units > room + 1e-9:
+        self.tries += 1
+        if self.rate and not self.lets(units, room):
             fits = False
-            wait = round(min(1e9, (self.level + units - room) / self.pace))
+            wait = round(min(1e9, max(1.0, self.level + units - room) / self.pace))
             # half an emission interval of the quota, and no use of others' waits
             if self.loop.now - self.asked_at > 0.5 / self.rate and not self.keeper.due:
                 self.loop.post(self.keeper.want, self)
@@ -196,8 +199,18 @@
             why = "ceiling" if not wait else "full count" if room >= self.depth else "old total"
             self.loop.post(desk.denied, job, wait, why)
 
+    def lets(self, units: float, room: float) -> bool:
+        """Whether the part has room; one too small for a req turns into one by chance."""
+        if self.rate * self.length >= self.n:
+            return self.level + units <= room + 1e-9
+        fits = self.whole + units <= self.depth + 1e-9
+        if self.asked <= 0.8 * self.rate:
+            return fits
+        known = self.loop.now - self.synced <= 1 / self.rate
+        return (fits or not known) and self.loop.chance() < self.rate / self.asked
+
     def taken(self, units: float) -> None:
-        self.out, self.taken_at, self.cap = self.out + 1, self.loop.now, self.cap - units
+        self.out, self.cap = self.out + 1, self.cap - units
         if not self.rate:
             return
         self.level += units
@@ -221,20 +234,20 @@
         """Adds the new use to the running interval's name and reads its total."""
         self.roll()
         self.asked_at = self.loop.now
-        step, self.unsent = self.unsent, 0.0
+        step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
         self.loop.post(self.keeper.call, self, self.k, step)
 
-    def edge(self, desk: Desk) -> None:
+    def edge(self) -> None:
         """At the edge the last use is added; a call's time later the finished total is read."""
         self.roll()
         self.woken = False
         if self.last[0]:
             self.loop.actions.append(api.Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
-        idle = self.loop.now - self.taken_at
-        if idle < 3 * self.length or self.out or (self.cap_rate and self.cap < self.cap_depth):
-            self.arm()
-        else:
-            self.loop.post(desk.drop, self)
+
+    def idle(self) -> bool:
+        """Whether nothing is left to remember after some intervals: not use, nor spent units of the ceiling."""
+        spent = self.cap + self.cap_rate * (self.loop.now - self.cap_at) < self.cap_depth
+        return not self.out and not spent and self.loop.now - self.used_at > 10 * self.length
 
     def read(self) -> None:
         self.roll()
@@ -258,8 +271,10 @@
         self.roll()
         if got.outcome is not Outcome.PASSED:
             if got.outcome is not Outcome.NO_ANSWER and k == self.k:
-                self.unsent += step  # surely not added; one with no answer may have been and is not repeated
+                self.tries += int(step // TRY)
+                self.unsent += step % TRY  # surely not added; one with no answer may have been and is not repeated
             return
+        step, total = step % TRY, got.total % TRY
         if k == self.k:
             self.confirmed += step
             sure, own, known, forgot = self.confirmed, self.own - self.unsent, self.others, self.forgot
@@ -268,23 +283,27 @@
         else:
             return
         # A total below what surely was added means that the counter forgot: it must not swell a part.
-        forgot = forgot or got.total < sure - 1e-6 or got.total < known - 1e-6
+        forgot = forgot or total < sure - 1e-6 or total < known - 1e-6
         self.forgot = forgot if k == self.k else self.forgot
         if forgot:
             return
-        others = max(known, got.total - own)
+        others = max(known, total - own)
         self.whole = min(self.depth, self.whole + others - known)
         # Well under quota all that is unused may be used here. Else the parts decide, and a limiter takes no
         # more than its even share of what is unused: else all limiters would take the same unit at once.
         mine = self.depth - (self.depth - self.whole) / self.n
         self.level = self.whole if self.under else max(self.whole, min(self.level, mine))
         self.synced = self.loop.now
+        # what was asked so far, beside half an interval of what was known before
+        span = (self.loop.now + self.offset) % self.length if k == self.k else self.length
+        tries = got.total // TRY + self.asked * self.length / 2
+        self.asked = tries / (span + self.length / 2)
         if k == self.k:
             self.others = others
         else:
             self.last = (own, sure, others, forgot)
             if not step:  # a read at the edge
-                self.split(own, max(got.total, own))
+                self.split(own, max(total, own))
 
     def split(self, own: float, total: float) -> None:
         """The design's re-split of the quota of one interval."""
@@ -472,6 +491,12 @@
         if account is None:
             account = Account(self.loop, self.keeper, note, plan)
             self.accounts[note.customer] = self.by_tag[note.digest] = account
+        eldest = next(iter(self.accounts.values()))  # one is looked at for each req
+        del self.accounts[eldest.customer]
+        if eldest is account or not eldest.idle():
+            self.accounts[eldest.customer] = eldest
+        else:
+            del self.by_tag[eldest.digest]
         row, left = self.rows[note.frontend], note.give_up - self.loop.now
         age = row.age(left, note.retry)
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
@@ -505,11 +530,6 @@
             if job.sent:
                 self.loop.post(job.account.free)
 
-    def drop(self, account: Account) -> None:
-        """A customer unseen for a few intervals starts even when it comes again."""
-        self.by_tag.pop(account.digest, None)
-        self.accounts.pop(account.customer, None)
-
     def granted(self, job: Job) -> None:
         usable = [s for s in self.servers.values() if s.entry.phase is Phase.LIVE]
         pressure = sum(len(s.out) for s in usable) / max(0.1, sum(s.limit for s in usable))
@@ -636,7 +656,7 @@
     def woke(self, note: api.Woke) -> None:
         account = self.by_tag.get(note.tag >> 1)
         if account is not None:
-            self.loop.post(account.read) if note.tag & 1 else self.loop.post(account.edge, self)
+            self.loop.post(account.read) if note.tag & 1 else self.loop.post(account.edge)
 
 
 class Brain:
