--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from math import log
 from random import Random
 
 from loomstand import interface as api
@@ -381,7 +383,7 @@
 
     def __init__(self, loop: Loop, entry: api.Entry) -> None:
         super().__init__(loop)
-        self.srv, self.flow, self.flow_at = entry.srv, 0.0, loop.now
+        self.srv, self.place = entry.srv, entry.srv * 0x9E3779B1 & 0xFFFFFFFF  # order on the ring, at all limiters
         self.out: dict[tuple[int, int], int] = {}
         self.fresh(entry)
 
@@ -389,11 +391,12 @@
         """A process that has just started is judged anew."""
         self.entry = entry
         self.times = Histogram(32)  # some ten seconds of one server's answers
-        self.recent: deque[bool] = deque(maxlen=6)
-        self.limit = 4.0  # two a core on the smallest machines; it grows or falls within a second
-        self.heard = self.cut_at = NEVER
-        self.cold_left, self.cold_at = 0.0, self.loop.now
-        self.trickle, self.trickle_at = 0.0, NEVER
+        # the last few outcomes, by frontend; in the last row whether there was any sign of life
+        self.recent = [deque[bool](maxlen=4) for _ in range(len(self.loop.settings.frontends) + 1)]
+        self.failed_at = self.heard = NEVER
+        # by chance, so that limiters which hear of it together don't reach their first dispatch together
+        self.cold_left, self.cold_at = self.loop.chance(), self.loop.now
+        self.trickle, self.trickle_at = 1.0, NEVER
 
     def listed(self, entry: api.Entry) -> None:
         if entry.booted != self.entry.booted:
@@ -407,19 +410,18 @@
             return 1.0
         return s.cold_from + (1 - s.cold_from) * max(0, age) / s.cold
 
-    def faded(self) -> float:
-        return self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000)  # half-life 2 s
-
-    def carries(self) -> float:
-        """Dispatches a tenth that this limiter sends here, over the last seconds."""
-        return self.faded() / 28_854  # the half-life over ln 2
-
     def quiet(self) -> int:
         """How long something has been out with no sign of life."""
         return self.loop.now - max(self.heard, next(iter(self.out.values()))) if self.out else 0
 
-    def aside(self) -> bool:
-        return len(self.recent) >= 3 and sum(self.recent) * 2 < len(self.recent)
+    def aside(self, front: int) -> bool:
+        """Whether most of its last few outcomes failed, for this frontend or for want of any sign of life.
+
+        One that had no outcome for long gets another: where reqs must not run twice there is no trickle.
+        """
+        if self.loop.now - self.failed_at > 20 * TENTHS_PER_S:
+            return False
+        return any(len(r) - sum(r) >= max(2, sum(r)) for r in (self.recent[front], self.recent[-1]))
 
     def cold_room(self, carried: float) -> bool:
         """Whether the cold server's budget, as this limiter's share of it, holds one more."""
@@ -431,30 +433,24 @@
         return self.cold_left >= 1.0
 
     def send(self, req: int, number: int, expire: int) -> None:
-        now = self.loop.now
-        self.flow, self.flow_at = self.faded() + 1, now
         self.cold_left -= 1
-        self.out[req, number] = now
+        self.out[req, number] = self.loop.now
         self.loop.actions.append(api.Dispatch(req, self.srv, expire))
 
-    def ended(self, note: api.Ended, target: int) -> None:
+    def ended(self, note: api.Ended, front: int) -> None:
         self.out.pop((note.req, note.dispatch), None)
         now, outcome = self.loop.now, note.outcome
-        if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF):
+        if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TURNED_AWAY):
             return
-        if outcome not in (Outcome.NO_ANSWER, Outcome.NO_CONNECTION):
-            self.heard = now  # a sign of life
         good = outcome is Outcome.PASSED
-        if outcome is not Outcome.TURNED_AWAY:
-            self.recent.append(good)
-            self.trickle = min(100.0, self.trickle * 2) if good else 1.0
-            if outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
-                self.times.add(note.took)
-        # far below the target, so that the wait of all limiters' reqs together stays below it
-        if good and note.took < 0.3 * target and len(self.out) + 1 >= 0.7 * self.limit:
-            self.limit = min(64.0, self.limit + 0.3 / max(1.0, self.limit))  # a third of a dispatch a round
-        elif (not good or note.took > 0.5 * target) and now - self.cut_at > note.took:
-            self.limit, self.cut_at = max(0.25, self.limit * 0.7), now
+        life = good or outcome is Outcome.SERVER_ERROR
+        self.heard = now if life else self.heard
+        self.failed_at = self.failed_at if good else now
+        self.recent[front].append(good)
+        self.recent[-1].append(life)
+        self.trickle = min(100.0, self.trickle * 2) if good else 1.0
+        if outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
+            self.times.add(note.took)
 
 
 class Desk(Part):
@@ -471,19 +467,56 @@
         self.times = Histogram(400)
         self.best = 1e-9
         self.tally, self.told = {}, loop.now
+        self.ring: list[Server] = []  # live servers in an order that all limiters share
+        self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
+        self.off: list[list[Server]] = []  # and those among them that are set aside
+        self.near_at, self.kinds = NEVER, {}
+        # dispatches out at once over all servers: a dozen a server by all limiters at first
+        self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
     def listed(self, note: api.Listed) -> None:
-        for entry in note.entries:
-            srv = self.servers.get(entry.srv)
-            if srv is None:
-                self.servers[entry.srv] = Server(self.loop, entry)
-            else:
-                self.loop.post(srv.listed, entry)
+        gone = []
         if note.whole:
             named = {entry.srv for entry in note.entries}
-            for srv in self.servers.values():
-                if srv.srv not in named:
-                    self.loop.post(srv.listed, replace(srv.entry, phase=Phase.GONE))
+            gone = [replace(v.entry, phase=Phase.GONE) for v in self.servers.values() if v.srv not in named]
+        for entry in (*note.entries, *gone):
+            srv = self.servers.get(entry.srv)
+            if srv is None:
+                srv = self.servers[entry.srv] = Server(self.loop, entry)
+            at = bisect_left(self.ring, srv.place, key=lambda v: v.place)
+            there = at < len(self.ring) and self.ring[at] is srv
+            if entry.phase is Phase.LIVE and not there:
+                self.ring.insert(at, srv)
+            elif entry.phase is not Phase.LIVE and there:
+                del self.ring[at]
+            if entry.phase is Phase.GONE and not srv.out:
+                del self.servers[entry.srv]
+            self.loop.post(srv.listed, entry)
+        self.near_at = NEVER
+        self.window = self.window or 12 * len(self.ring) / max(1, self.loop.settings.limiters)
+
+    def look(self) -> None:
+        """Chooses the servers to use: a stretch of the ring, the same few for long, so that their outcomes tell.
+
+        All limiters' stretches begin at even distances. Sixteen a server by all limiters spread the load well;
+        eight, for the choice among them. Those set aside are passed over, within three times the stretch: a
+        trouble common to most is not theirs. Guards against silent servers and ones that fail a frontend.
+        """
+        s, many = self.loop.settings, len(self.ring)
+        reach = min(many, max(8, 16 * many // max(1, s.limiters)))
+        start = s.me * many // max(1, s.limiters)
+        stretch = [self.ring[(start + n) % many] for n in range(min(many, 3 * reach))]
+        self.near, self.off, self.near_at = [], [], self.loop.now
+        for front in range(len(self.rows)):
+            well, off = [], []
+            for srv in stretch:
+                (off if srv.aside(front) else well).append(srv)
+                if len(well) == reach:
+                    break
+            if len(well) * 3 < reach:
+                well, off = stretch[:reach], []
+            self.near.append(well)
+            self.off.append(off)
 
     def arrived(self, note: api.Arrived) -> None:
         account, plans = self.accounts.get(note.customer), self.loop.settings.plans
@@ -531,9 +564,7 @@
                 self.loop.post(job.account.free)
 
     def granted(self, job: Job) -> None:
-        usable = [s for s in self.servers.values() if s.entry.phase is Phase.LIVE]
-        pressure = sum(len(s.out) for s in usable) / max(0.1, sum(s.limit for s in usable))
-        srv = None if self.shed(job, pressure) else self.pick(job)
+        srv = None if self.shed(job, (self.out + self.loop.chance()) / max(1e-9, self.window)) else self.pick(job)
         if srv is None:
             self.loop.post(self.denied, job, 0, "servers full")
         else:
@@ -552,46 +583,54 @@
         return pressure > 0.3 + 0.7 * worth / self.best
 
     def pick(self, job: Job) -> Server | None:
-        """The server with the shortest expected wait among those that may be used."""
-        s, now = self.loop.settings, self.loop.now
-        live = [v for v in self.servers.values() if v.entry.phase is Phase.LIVE and self.may_repeat(job, v)]
+        """One of the servers in use: the shorter the expected wait, the likelier.
+
+        The more limiters share the servers, the less the own dispatches say of a server's queue, and the more
+        chance decides: else all would choose the same.
+        """
+        s, now, front = self.loop.settings, self.loop.now, job.note.frontend
+        if now - self.near_at > 2 * TENTHS_PER_S:
+            self.look()
+        near, off, row = self.near[front], self.off[front], self.rows[front]
+        if off and row.effect is Effect.REPLAYABLE and self.loop.chance() < 1 / 30:  # little is lost if all fail
+            srv = off[int(self.loop.chance() * len(off))]
+            if now - srv.trickle_at > TENTHS_PER_S / srv.trickle and self.cold_ok(srv):
+                srv.trickle_at = now
+                return srv
         tried = {srv for srv, _ in job.sent}
-        live = [v for v in live if v.srv not in tried] or live
-        warm = [v for v in live if v.warmth() >= 1.0]
-        well = [v for v in live if not v.aside()]
-        if len(well) * 3 < len(live) * 2:
-            well = live  # a trouble common to many is not theirs: nobody is set aside
-        elif self.rows[job.note.frontend].effect is Effect.REPLAYABLE:
-            for v in live:
-                rested = now - v.trickle_at > TENTHS_PER_S / max(v.trickle, 1.0)
-                if v.aside() and not v.out and rested and self.cold_ok(v, warm):
-                    v.trickle_at = now
-                    return v
-        mean = self.times.mean(2000, 4)
-        best, least = None, 0.0
-        for v in well:
-            if len(v.out) >= max(1.0, v.limit) or not self.cold_ok(v, warm):
+        blur = s.limiters / (s.limiters + 10)
+        best, least, mean = None, 0.0, self.times.mean(2000, 4)
+        for v in near:
+            if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out)) + v.quiet()
+            kind = self.kinds[v.entry.kind].mean(mean, 3) if v.entry.kind in self.kinds else mean
+            cost = v.times.mean(kind, 3) / v.warmth() * (1 + len(v.out)) + v.quiet()
             if v.entry.hall != s.hall:
                 cost *= 1.05  # crossing halls costs little; it decides between equals
-            cost *= 1 + 0.1 * self.loop.chance()
-            if best is None or cost < least:
+            if v.srv in tried:
+                cost *= 100
+            cost *= (-log(1 - self.loop.chance())) ** blur
+            if (best is None or cost < least) and self.cold_ok(v):
                 best, least = v, cost
         return best
 
-    def cold_ok(self, srv: Server, warm: list[Server]) -> bool:
+    def cold_ok(self, srv: Server) -> bool:
+        """Against what one of this limiter's servers answers to it, as servers of this kind go."""
         if srv.warmth() >= 1.0:
             return True
-        peers = sorted(v.carries() for v in warm if v.entry.kind == srv.entry.kind)
-        peers = peers or sorted(v.carries() for v in warm)
-        return srv.cold_room(peers[len(peers) // 2] if peers else 0.0)
+        flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) / 28_854  # half-life 2 s, over ln 2
+        kind = self.kinds.get(srv.entry.kind)
+        mean = self.times.mean(2000, 4)
+        slow = max(1.0, kind.mean(mean, 3) / mean) if kind else 1.0
+        return srv.cold_room(flow / slow / max(1, len(self.near[0])))
 
     def may_repeat(self, job: Job, srv: Server) -> bool:
         """Whether no effect can come twice if the req goes to this server."""
         row, here = self.rows[job.note.frontend], srv.entry
         if not job.maybe or row.effect is Effect.REPLAYABLE:
             return True
+        if not all(job.sent[n][0] in self.servers for n in job.maybe):
+            return False
         before = [(self.servers[job.sent[n][0]].entry, job.sent[n][1]) for n in job.maybe]
         hall, pod = all(e.hall == here.hall for e, _ in before), all(e.pod == here.pod for e, _ in before)
         known = all(self.loop.now - at < row.window for _, at in before)
@@ -606,6 +645,7 @@
             wait = 3 * row.times.quantile(0.97, row.target / 4)
             if now + wait + row.times.mean(row.target / 4, 1) < job.target:
                 expire = min(expire, now + round(wait))
+        self.out += 1
         self.loop.post(srv.send, job.note.req, len(job.sent), expire)
         job.sent.append((srv.srv, now))
 
@@ -615,13 +655,16 @@
         if job is None or srv is None:
             return
         row = self.rows[job.note.frontend]
-        self.loop.post(srv.ended, note, row.target)
+        self.loop.post(srv.ended, note, job.note.frontend)
         job.ended += 1
+        self.out -= 1
+        self.judge(note, row.target)
         if note.metered:
             self.loop.post(job.account.metered, note.metered - 1)
         if note.outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             row.times.add(note.took)
             self.times.add(note.took)
+            self.kinds.setdefault(srv.entry.kind, Histogram(200)).add(note.took)
         if note.outcome not in NOT_RUN:
             job.maybe.append(note.dispatch)
         job.done = job.done or note.final
@@ -630,6 +673,21 @@
         else:
             self.again(job)
 
+    def judge(self, note: api.Ended, target: int) -> None:
+        """The window aims at a short queue over all servers, known from answers however few each server gives.
+
+        Guards against overload of any cause; errors and silence are single servers' more often, and count less.
+        """
+        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.6 * target}
+        cut = bad.get(note.outcome, 0.0)
+        if note.outcome is Outcome.PASSED:
+            self.flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) + 1
+            self.flow_at = self.loop.now
+        if cut:
+            self.window = max(0.05, self.window - cut * min(1.0, 0.3 * self.window))
+        elif note.took < 0.3 * target and self.out + 1 >= 0.7 * self.window:
+            self.window += 0.1 * min(1.0, self.window)
+
     def again(self, job: Job) -> None:
         """Another dispatch where it is allowed and can still be in time, else the final answer at once."""
         now, row = self.loop.now, self.rows[job.note.frontend]
