--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -598,7 +598,7 @@
                 srv.trickle_at = now
                 return srv
         tried = {srv for srv, _ in job.sent}
-        blur = s.limiters / (s.limiters + 10)
+        blur = s.limiters / (s.limiters + 60)
         best, least, mean = None, 0.0, self.times.mean(2000, 4)
         for v in near:
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
