--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -678,15 +678,16 @@
 
         Guards against overload of any cause; errors and silence are single servers' more often, and count less.
         """
-        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.6 * target}
+        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         cut = bad.get(note.outcome, 0.0)
         if note.outcome is Outcome.PASSED:
             self.flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) + 1
             self.flow_at = self.loop.now
         if cut:
-            self.window = max(0.05, self.window - cut * min(1.0, 0.3 * self.window))
-        elif note.took < 0.3 * target and self.out + 1 >= 0.7 * self.window:
-            self.window += 0.1 * min(1.0, self.window)
+            least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
+            self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
+        elif note.took < 0.5 * target and self.out + 1 >= 0.7 * self.window:
+            self.window += 0.06 * min(1.0, self.window)  # one late answer in sixteen holds it
 
     def again(self, job: Job) -> None:
         """Another dispatch where it is allowed and can still be in time, else the final answer at once."""
