--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -370,10 +370,10 @@
             del self.waiting[got.name]
         limit = self.loop.settings.count_timeout
         self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
-        if self.failed or got.took > limit / 4:
+        if self.failed or got.took > limit / 2:
             # a fourth of the first pace is enough to find the counter back, and makes no wave then
             self.pace = max(self.start / 4, self.pace * 0.7)
-        elif self.left < 1:
+        elif self.left < 1 and got.took < limit / 4:
             self.pace *= 1.15  # so that about a fourth of the calls are slow where all want more
         self.loop.post(account.counted, k, step, got)
 
