--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -298,8 +298,9 @@
         self.synced = self.loop.now
         # what was asked so far, beside half an interval of what was known before
         span = (self.loop.now + self.offset) % self.length if k == self.k else self.length
-        tries = got.total // TRY + self.asked * self.length / 2
-        self.asked = tries / (span + self.length / 2)
+        before = self.length / 2 if self.asked else self.length / 8
+        tries = got.total // TRY - 0.5 + (self.asked or self.rate / 2) * before
+        self.asked = max(0.0, tries / (span + before))
         if k == self.k:
             self.others = others
         else:
