--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -687,7 +687,7 @@
         if cut:
             least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
-        elif note.took < 0.5 * target and self.out + 1 >= 0.7 * self.window:
+        elif note.took < 0.5 * target and self.out + 1 >= 0.3 * self.window:
             self.window += 0.06 * min(1.0, self.window)  # one late answer in sixteen holds it
 
     def again(self, job: Job) -> None:
