--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -555,7 +555,8 @@
         """Counts what befell reqs, and tells the operators every five seconds."""
         self.tally[why] = self.tally.get(why, 0) + 1
         if self.loop.now >= self.told + 5 * TENTHS_PER_S:
-            self.loop.actions.append(api.Log(", ".join(f"{k} {v}" for k, v in sorted(self.tally.items()))))
+            said = ", ".join(f"{k} {v}" for k, v in sorted(self.tally.items()))
+            self.loop.actions.append(api.Log(f"{said}, window {self.window:.1f}"))
             self.tally, self.told = {}, self.loop.now
 
     def forget(self, job: Job) -> None:
