--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -680,7 +680,7 @@
 
         Guards against overload of any cause; errors and silence are single servers' more often, and count less.
         """
-        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
+        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > target}
         cut = bad.get(note.outcome, 0.0)
         if note.outcome is Outcome.PASSED:
             self.flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) + 1
