--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -600,7 +600,7 @@
                 srv.trickle_at = now
                 return srv
         tried = {srv for srv, _ in job.sent}
-        blur = s.limiters / (s.limiters + 60)
+        blur = s.limiters / (s.limiters + 200)
         best, least, mean = None, 0.0, self.times.mean(2000, 4)
         for v in near:
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
@@ -680,7 +680,7 @@
 
         Guards against overload of any cause; errors and silence are single servers' more often, and count less.
         """
-        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > target}
+        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         cut = bad.get(note.outcome, 0.0)
         if note.outcome is Outcome.PASSED:
             self.flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) + 1
