--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -600,7 +600,7 @@
                 srv.trickle_at = now
                 return srv
         tried = {srv for srv, _ in job.sent}
-        blur = s.limiters / (s.limiters + 200)
+        blur = s.limiters / (s.limiters + 60)
         best, least, mean = None, 0.0, self.times.mean(2000, 4)
         for v in near:
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
@@ -689,7 +689,7 @@
             least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
         elif note.took < 0.5 * target and self.out + 1 >= 0.3 * self.window:
-            self.window += 0.06 * min(1.0, self.window)  # one late answer in sixteen holds it
+            self.window += 0.15 * min(1.0, self.window)  # one late answer in seven holds it
 
     def again(self, job: Job) -> None:
         """Another dispatch where it is allowed and can still be in time, else the final answer at once."""
