--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -689,7 +689,7 @@
             least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
         elif note.took < 0.5 * target and self.out + 1 >= 0.3 * self.window:
-            self.window += 0.3 * min(1.0, self.window)  # one late answer in four holds it
+            self.window += 0.1 * min(1.0, self.window)  # one late answer in ten holds it
 
     def again(self, job: Job) -> None:
         """Another dispatch where it is allowed and can still be in time, else the final answer at once."""
