--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -203,11 +203,11 @@
 
     def lets(self, units: float, room: float) -> bool:
         """Whether the part has room; one too small for a req turns into one by chance."""
-        if self.rate * self.length >= self.n:
-            return self.level + units <= room + 1e-9
-        fits = self.whole + units <= self.depth + 1e-9
-        if self.asked <= 0.8 * self.rate:
+        fits, small = self.whole + units <= self.depth + 1e-9, self.rate * self.length < self.n
+        if self.asked <= 0.8 * self.rate and (small or self.synced > self.loop.now - 10 * self.length):
             return fits
+        if not small:
+            return self.level + units <= room + 1e-9
         known = self.loop.now - self.synced <= 1 / self.rate
         return (fits or not known) and self.loop.chance() < self.rate / self.asked
 
