--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -331,7 +331,7 @@
         self.due: dict[Account, None] = {}  # whose use or question waits for a call, the newest last
         # calls a tenth: some hundred a second by all limiters at first; found within seconds
         self.start = self.pace = 300 / TENTHS_PER_S / max(1, loop.settings.limiters)
-        self.left, self.left_at, self.failed = 1.0, loop.now, 0
+        self.left, self.left_at, self.failed, self.cut_at = 1.0, loop.now, 0, NEVER
 
     def down(self) -> bool:
         return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
@@ -371,10 +371,11 @@
             del self.waiting[got.name]
         limit = self.loop.settings.count_timeout
         self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
-        if self.failed or got.took > limit / 2:
+        if (self.failed or got.took > limit / 2) and self.loop.now - self.cut_at > limit:
+            self.cut_at = self.loop.now
             # a fourth of the first pace is enough to find the counter back, and makes no wave then
             self.pace = max(self.start / 4, self.pace * 0.7)
-        elif self.left < 1 and got.took < limit / 4:
+        elif not self.failed and self.left < 1 and got.took < limit / 4:
             self.pace *= 1.15  # so that about a fourth of the calls are slow where all want more
         self.loop.post(account.counted, k, step, got)
 
