--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -339,7 +339,7 @@
     def free(self) -> bool:
         """Whether a call may go now."""
         now = self.loop.now
-        most = max(1.0, 2000 * self.pace)  # a fifth of a second's calls at once
+        most = max(2.0, 2000 * self.pace)  # a fifth of a second's calls at once
         self.left, self.left_at = min(most, self.left + self.pace * (now - self.left_at)), now
         return self.loop.settings.has_counter and self.left >= 1
 
@@ -347,7 +347,7 @@
         """The newest go first; one that has waited long is of little use, its use goes with its next call."""
         self.due.pop(account, None)
         self.due[account] = None
-        if len(self.due) > 30:  # some seconds' calls
+        if len(self.due) > 10 + 20_000 * self.pace:  # two seconds' calls
             del self.due[next(iter(self.due))]
         self.serve()
 
