--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -135,7 +135,7 @@
         self.level = self.whole = self.meter = 0.0
         self.used_at = loop.now
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
-        self.k, self.out = self.interval(), 0
+        self.k, self.unread, self.out = self.interval(), -1, 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.tries, self.asked = 0, 0.0  # tries not yet told; units a tenth asked at all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
@@ -236,6 +236,10 @@
         """Adds the new use to the running interval's name and reads its total."""
         self.roll()
         self.asked_at = self.loop.now
+        if self.unread == self.k - 1:
+            self.unread = -1
+            self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
+            return
         step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
         self.loop.post(self.keeper.call, self, self.k, step)
 
@@ -253,9 +257,8 @@
 
     def read(self) -> None:
         self.roll()
-        if not self.keeper.due and self.keeper.free():
-            self.keeper.left -= 1
-            self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
+        self.unread = self.k - 1
+        self.loop.post(self.keeper.want, self)
 
     def metered(self, percent: int) -> None:
         """Where no total comes, the meter's use of the last period stands in for it."""
