--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -103,22 +103,9 @@
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
-        self.value, self.late, self.marked = front.value, front.late_value, False
-        self.lefts = [0.0] * 64  # how many tries had so much time left
+        self.value, self.late = front.value, front.late_value
         self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
-    def age(self, left: int, retry: bool) -> int:
-        """The age of a client's first try, 0 where nothing tells: a try gets a usual time or all that is left
-        of the client timeout, and a time left that many tries have is a usual one."""
-        n = max(0, min(63, 64 * left // (self.timeout + 1)))
-        self.lefts[n] += 1
-        tries = sum(self.lefts)
-        share, self.marked = self.lefts[n] / tries, self.marked or retry
-        if tries >= 500:  # some seconds' tries
-            self.lefts = [m / 2 for m in self.lefts]
-        # four times what each bin would get if ages were spread evenly
-        return 0 if share > 4 / 64 or (self.marked and not retry) else max(0, self.timeout - left)
-
 
 class Account(Part):
     """A customer's smoothed bucket at this limiter, and its part of the quota."""
@@ -135,12 +122,11 @@
         self.level = self.whole = self.meter = 0.0
         self.used_at = loop.now
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
-        self.k, self.unread, self.out = self.interval(), -1, 0
+        self.k, self.out = self.interval(), 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.tries, self.asked = 0, 0.0  # tries not yet told; units a tenth asked at all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
-        self.calm, self.under = False, True
         # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
         self.cap_rate = plan.ceiling_rate / self.n / TENTHS_PER_S if plan else 0.0
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
@@ -174,20 +160,15 @@
             self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
-                self.calm, self.under = False, True
-
-    def room(self) -> float:
-        """The burst this limiter may use: all of it while totals come, its part of it when they don't."""
-        if self.loop.now - self.synced <= self.length or self.calm:
-            return self.depth
-        return max(self.depth * min(1.0, self.pace / self.rate), 1.0)
 
     def ask(self, job: Job, desk: Desk) -> None:
         """One req per emission interval and a burst count; a full count denies at once."""
         units, most, wait = job.note.units, self.plan.at_once if self.plan else 0, 0
         self.roll()
         fits = not (self.cap_rate and self.cap < units) and not (most and self.out >= max(1, most // self.n))
-        room = self.room() if self.rate else self.depth
+        # the whole burst while totals come, else this limiter's part of it
+        fresh = not self.rate or self.loop.now - self.synced <= self.length
+        room = self.depth if fresh else max(1.0, self.depth * min(1.0, self.pace / self.rate))
         self.tries += 1
         if self.rate and not self.lets(units, room):
             fits = False
@@ -198,7 +179,7 @@
         if fits:
             self.loop.post(desk.granted, job)
         else:
-            why = "ceiling" if not wait else "full count" if room >= self.depth else "old total"
+            why = "ceiling" if not wait else "full count" if fresh else "old total"
             self.loop.post(desk.denied, job, wait, why)
 
     def lets(self, units: float, room: float) -> bool:
@@ -236,10 +217,6 @@
         """Adds the new use to the running interval's name and reads its total."""
         self.roll()
         self.asked_at = self.loop.now
-        if self.unread == self.k - 1:
-            self.unread = -1
-            self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
-            return
         step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
         self.loop.post(self.keeper.call, self, self.k, step)
 
@@ -257,8 +234,9 @@
 
     def read(self) -> None:
         self.roll()
-        self.unread = self.k - 1
-        self.loop.post(self.keeper.want, self)
+        if not self.keeper.due and self.keeper.free():
+            self.keeper.left -= 1
+            self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
 
     def metered(self, percent: int) -> None:
         """Where no total comes, the meter's use of the last period stands in for it."""
@@ -297,7 +275,7 @@
         # Well under quota all that is unused may be used here. Else the parts decide, and a limiter takes no
         # more than its even share of what is unused: else all limiters would take the same unit at once.
         mine = self.depth - (self.depth - self.whole) / self.n
-        self.level = self.whole if self.under else max(self.whole, min(self.level, mine))
+        self.level = self.whole if self.asked <= 0.8 * self.rate else max(self.whole, min(self.level, mine))
         self.synced = self.loop.now
         # what was asked so far, beside half an interval of what was known before
         span = (self.loop.now + self.offset) % self.length if k == self.k else self.length
@@ -316,7 +294,6 @@
         quota = self.rate * self.length
         part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
         self.pace = max(part, 1e-3) / self.length
-        self.calm, self.under = total < 0.7 * quota, total < 0.8 * quota
         self.split_at = self.loop.now
 
 
@@ -536,7 +513,7 @@
         else:
             del self.by_tag[eldest.digest]
         row, left = self.rows[note.frontend], note.give_up - self.loop.now
-        age = row.age(left, note.retry)
+        age = max(0, row.timeout - left) if note.retry else 0
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
         job = Job(note, account, self.loop.now + row.target - age, worth)
         self.jobs[note.req] = job
