--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -375,7 +375,7 @@
         self.times = Histogram(32)  # some ten seconds of one server's answers
         # the last few outcomes, by frontend; in the last row whether there was any sign of life
         self.recent = [deque[bool](maxlen=4) for _ in range(len(self.loop.settings.frontends) + 1)]
-        self.failed_at = self.heard = NEVER
+        self.failed_at = NEVER
         # by chance, so that limiters which hear of it together don't reach their first dispatch together
         self.cold_left, self.cold_at = self.loop.chance(), self.loop.now
         self.trickle, self.trickle_at = 1.0, NEVER
@@ -392,10 +392,6 @@
             return 1.0
         return s.cold_from + (1 - s.cold_from) * max(0, age) / s.cold
 
-    def quiet(self) -> int:
-        """How long something has been out with no sign of life."""
-        return self.loop.now - max(self.heard, next(iter(self.out.values()))) if self.out else 0
-
     def aside(self, front: int) -> bool:
         """Whether most of its last few outcomes failed, for this frontend or for want of any sign of life.
 
@@ -426,7 +422,6 @@
             return
         good = outcome is Outcome.PASSED
         life = good or outcome is Outcome.SERVER_ERROR
-        self.heard = now if life else self.heard
         self.failed_at = self.failed_at if good else now
         self.recent[front].append(good)
         self.recent[-1].append(life)
@@ -452,7 +447,7 @@
         self.ring: list[Server] = []  # live servers in an order that all limiters share
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off: list[list[Server]] = []  # and those among them that are set aside
-        self.near_at, self.kinds = NEVER, {}
+        self.near_at = NEVER
         # dispatches out at once over all servers: a dozen a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
@@ -586,8 +581,7 @@
         for v in near:
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
                 continue
-            kind = self.kinds[v.entry.kind].mean(mean, 3) if v.entry.kind in self.kinds else mean
-            cost = v.times.mean(kind, 3) / v.warmth() * (1 + len(v.out)) + v.quiet()
+            cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out))
             if v.entry.hall != s.hall:
                 cost *= 1.05  # crossing halls costs little; it decides between equals
             if v.srv in tried:
@@ -602,10 +596,7 @@
         if srv.warmth() >= 1.0:
             return True
         flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) / 28_854  # half-life 2 s, over ln 2
-        kind = self.kinds.get(srv.entry.kind)
-        mean = self.times.mean(2000, 4)
-        slow = max(1.0, kind.mean(mean, 3) / mean) if kind else 1.0
-        return srv.cold_room(flow / slow / max(1, len(self.near[0])))
+        return srv.cold_room(flow / max(1, len(self.near[0])))
 
     def may_repeat(self, job: Job, srv: Server) -> bool:
         """Whether no effect can come twice if the req goes to this server."""
@@ -647,7 +638,6 @@
         if note.outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             row.times.add(note.took)
             self.times.add(note.took)
-            self.kinds.setdefault(srv.entry.kind, Histogram(200)).add(note.took)
         if note.outcome not in NOT_RUN:
             job.maybe.append(note.dispatch)
         job.done = job.done or note.final
