--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -152,10 +152,8 @@
             self.last = (self.own, self.confirmed, self.others, self.forgot)
             if k > self.k + 1:
                 self.last = (0.0, 0.0, 0.0, True)
-            elif self.unsent and self.keeper.free():
-                self.keeper.left -= 1
-                self.loop.post(self.keeper.call, self, self.k, self.unsent + TRY * min(99, self.tries))
-                self.unsent, self.tries = 0.0, 0
+            elif self.unsent and self.keeper.take():
+                self.tell(self.k)
             self.own, self.confirmed, self.others = self.unsent, 0.0, 0.0  # the rest is added to this interval
             self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
@@ -199,17 +197,13 @@
         self.level += units
         self.whole = min(self.depth, self.whole + units)
         self.own, self.unsent = self.own + units, self.unsent + units
-        if not self.woken:
-            self.arm()
+        if not self.woken:  # a timer past the next edge, by when every limiter's last add has come or failed
+            self.woken, edge = True, self.length - (self.loop.now + self.offset) % self.length
+            after = min(edge, 2400 * TENTHS_PER_S) + self.loop.settings.count_timeout + 1  # 40 minutes at most
+            self.loop.actions.append(api.Wake(after, self.digest))
         if self.unsent >= (self.depth - self.whole) / (2 * self.n):
             self.loop.post(self.keeper.want, self)
 
-    def arm(self) -> None:
-        """A timer for the next edge; 40 minutes is well under the longest that a front must take."""
-        self.woken = True
-        edge = self.length - (self.loop.now + self.offset) % self.length
-        self.loop.actions.append(api.Wake(min(edge, 2400 * TENTHS_PER_S), self.digest << 1))
-
     def free(self) -> None:
         self.out -= 1
 
@@ -217,15 +211,11 @@
         """Adds the new use to the running interval's name and reads its total."""
         self.roll()
         self.asked_at = self.loop.now
-        step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
-        self.loop.post(self.keeper.call, self, self.k, step)
+        self.tell(self.k)
 
-    def edge(self) -> None:
-        """At the edge the last use is added; a call's time later the finished total is read."""
-        self.roll()
-        self.woken = False
-        if self.last[0]:
-            self.loop.actions.append(api.Wake(self.loop.settings.count_timeout + 1, self.digest << 1 | 1))
+    def tell(self, k: int) -> None:
+        step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
+        self.loop.post(self.keeper.call, self, k, step)
 
     def idle(self) -> bool:
         """Whether nothing is left to remember after some intervals: not use, nor spent units of the ceiling."""
@@ -233,9 +223,10 @@
         return not self.out and not spent and self.loop.now - self.used_at > 10 * self.length
 
     def read(self) -> None:
+        """Reads the finished total of the last interval."""
         self.roll()
-        if not self.keeper.due and self.keeper.free():
-            self.keeper.left -= 1
+        self.woken = False
+        if self.last[0] and not self.keeper.due and self.keeper.take():
             self.loop.post(self.keeper.call, self, self.k - 1, 0.0)
 
     def metered(self, percent: int) -> None:
@@ -300,9 +291,8 @@
 class Keeper(Part):
     """Makes the calls to the counter, as often as this limiter's share of it bears.
 
-    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take
-    long, and all limiters slow down together. It may hurt when a few calls are lost by chance: then use is
-    added a little later.
+    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take long,
+    and all limiters slow down together. It may hurt when calls are lost by chance: use is added a little later.
     """
 
     def __init__(self, loop: Loop) -> None:
@@ -316,12 +306,14 @@
     def down(self) -> bool:
         return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
 
-    def free(self) -> bool:
-        """Whether a call may go now."""
+    def take(self) -> bool:
+        """Takes the right to one call, if there is one now."""
         now = self.loop.now
         most = max(2.0, 2000 * self.pace)  # a fifth of a second's calls at once
         self.left, self.left_at = min(most, self.left + self.pace * (now - self.left_at)), now
-        return self.loop.settings.has_counter and self.left >= 1
+        going = self.loop.settings.has_counter and self.left >= 1
+        self.left -= going
+        return going
 
     def want(self, account: Account) -> None:
         """The newest go first; one that has waited long is of little use, its use goes with its next call."""
@@ -332,10 +324,8 @@
         self.serve()
 
     def serve(self) -> None:
-        while self.due and self.free():
-            self.left -= 1
-            account, _ = self.due.popitem()
-            self.loop.post(account.report)
+        while self.due and self.take():
+            self.loop.post(self.due.popitem()[0].report)
 
     def call(self, account: Account, k: int, step: float) -> None:
         name = account.name(k)
@@ -475,9 +465,8 @@
     def look(self) -> None:
         """Chooses the servers to use: a stretch of the ring, the same few for long, so that their outcomes tell.
 
-        All limiters' stretches begin at even distances. Sixteen a server by all limiters spread the load well;
-        eight, for the choice among them. Those set aside are passed over, within three times the stretch: a
-        trouble common to most is not theirs. Guards against silent servers and ones that fail a frontend.
+        Sixteen limiters a server spread the load well; eight servers leave a choice. Those set aside are passed
+        over, within three times the stretch (a trouble common to most is not theirs): silent, or failing a frontend.
         """
         s, many = self.loop.settings, len(self.ring)
         reach = min(many, max(8, 16 * many // max(1, s.limiters)))
@@ -506,7 +495,7 @@
         if eldest is account or not eldest.idle():
             self.accounts[eldest.customer] = eldest
         else:
-            del self.by_tag[eldest.digest]
+            self.by_tag.pop(eldest.digest, None)
         row, left = self.rows[note.frontend], note.give_up - self.loop.now
         age = max(0, row.timeout - left) if note.retry else 0
         worth = row.value * (plan.value_factor if plan else 1.0) * note.units
@@ -563,8 +552,7 @@
     def pick(self, job: Job) -> Server | None:
         """One of the servers in use: the shorter the expected wait, the likelier.
 
-        The more limiters share the servers, the less the own dispatches say of a server's queue, and the more
-        chance decides: else all would choose the same.
+        The more limiters share the servers, the less the own dispatches tell and the more chance decides.
         """
         s, now, front = self.loop.settings, self.loop.now, job.note.frontend
         if now - self.near_at > 2 * TENTHS_PER_S:
@@ -581,35 +569,34 @@
         for v in near:
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out))
-            if v.entry.hall != s.hall:
-                cost *= 1.05  # crossing halls costs little; it decides between equals
-            if v.srv in tried:
-                cost *= 100
+            cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out)) * (100 if v.srv in tried else 1)
+            cost *= 1.05 if v.entry.hall != s.hall else 1.0  # crossing costs little; it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
             if (best is None or cost < least) and self.cold_ok(v):
                 best, least = v, cost
         return best
 
     def cold_ok(self, srv: Server) -> bool:
-        """Against what one of this limiter's servers answers to it, as servers of this kind go."""
-        if srv.warmth() >= 1.0:
-            return True
-        flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) / 28_854  # half-life 2 s, over ln 2
-        return srv.cold_room(flow / max(1, len(self.near[0])))
+        """Against what one of this limiter's servers answers to it."""
+        return srv.warmth() >= 1.0 or srv.cold_room(self.passed(0) / 28_854 / max(1, len(self.near[0])))
+
+    def passed(self, more: int) -> float:
+        """Answers lately, with a half-life of 2 s; over 28,854 (that over ln 2), those a tenth."""
+        now = self.loop.now
+        self.flow, self.flow_at = self.flow * 0.5 ** ((now - self.flow_at) / 20_000) + more, now
+        return self.flow
 
     def may_repeat(self, job: Job, srv: Server) -> bool:
         """Whether no effect can come twice if the req goes to this server."""
         row, here = self.rows[job.note.frontend], srv.entry
         if not job.maybe or row.effect is Effect.REPLAYABLE:
             return True
-        if not all(job.sent[n][0] in self.servers for n in job.maybe):
+        if row.effect is not Effect.UNIQUED or any(job.sent[n][0] not in self.servers for n in job.maybe):
             return False
         before = [(self.servers[job.sent[n][0]].entry, job.sent[n][1]) for n in job.maybe]
-        hall, pod = all(e.hall == here.hall for e, _ in before), all(e.pod == here.pod for e, _ in before)
         known = all(self.loop.now - at < row.window for _, at in before)
-        same = {Group.ALL: True, Group.HALL: hall, Group.POD: pod}[row.group]
-        return row.effect is Effect.UNIQUED and known and same
+        part = {Group.ALL: lambda e: 0, Group.HALL: lambda e: e.hall, Group.POD: lambda e: e.pod}[row.group]
+        return known and all(part(e) == part(here) for e, _ in before)
 
     def dispatch(self, job: Job, srv: Server) -> None:
         now, row = self.loop.now, self.rows[job.note.frontend]
@@ -647,15 +634,13 @@
             self.again(job)
 
     def judge(self, note: api.Ended, target: int) -> None:
-        """The window aims at a short queue over all servers, known from answers however few each server gives.
+        """The window aims at a short queue over all servers, known from all answers together.
 
         Guards against overload of any cause; errors and silence are single servers' more often, and count less.
         """
         bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         cut = bad.get(note.outcome, 0.0)
-        if note.outcome is Outcome.PASSED:
-            self.flow = self.flow * 0.5 ** ((self.loop.now - self.flow_at) / 20_000) + 1
-            self.flow_at = self.loop.now
+        self.passed(note.outcome is Outcome.PASSED)
         if cut:
             least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
@@ -667,7 +652,7 @@
         now, row = self.loop.now, self.rows[job.note.frontend]
         late = now + row.times.quantile(0.25, 0) > job.target and row.late <= 0
         if not late and now < job.note.give_up and len(job.sent) < self.loop.settings.try_limit:
-            price = 1.0 if job.maybe else 0.2  # a dispatch that never ran cost the servers little
+            price = 1.0 if job.maybe else 0.2  # one that never ran cost the servers little
             srv = self.pick(job) if self.spare >= price else None
             if srv is not None:
                 self.spare -= price
@@ -686,9 +671,9 @@
             self.forget(job)
 
     def woke(self, note: api.Woke) -> None:
-        account = self.by_tag.get(note.tag >> 1)
+        account = self.by_tag.get(note.tag)
         if account is not None:
-            self.loop.post(account.read) if note.tag & 1 else self.loop.post(account.edge)
+            self.loop.post(account.read)
 
 
 class Brain:
