--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -135,9 +135,6 @@
     def interval(self) -> int:
         return (self.loop.now + self.offset) // self.length if self.length else 0
 
-    def name(self, k: int) -> int:
-        return self.digest << 15 | k & 0x7FFF
-
     def roll(self) -> None:
         """Lets the burst counts and the ceiling move with the clock, and turns to a new interval."""
         now = self.loop.now
@@ -154,41 +151,38 @@
                 self.last = (0.0, 0.0, 0.0, True)
             elif self.unsent and self.keeper.take():
                 self.tell(self.k)
-            self.own, self.confirmed, self.others = self.unsent, 0.0, 0.0  # the rest is added to this interval
+            self.own, self.confirmed, self.others = self.unsent, 0.0, 0.0  # the rest goes with this interval
             self.forgot, self.k = False, k
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
 
     def ask(self, job: Job, desk: Desk) -> None:
         """One req per emission interval and a burst count; a full count denies at once."""
-        units, most, wait = job.note.units, self.plan.at_once if self.plan else 0, 0
+        units, most = job.note.units, self.plan.at_once if self.plan else 0
         self.roll()
-        fits = not (self.cap_rate and self.cap < units) and not (most and self.out >= max(1, most // self.n))
-        # the whole burst while totals come, else this limiter's part of it
-        fresh = not self.rate or self.loop.now - self.synced <= self.length
-        room = self.depth if fresh else max(1.0, self.depth * min(1.0, self.pace / self.rate))
         self.tries += 1
-        if self.rate and not self.lets(units, room):
-            fits = False
-            wait = round(min(1e9, max(1.0, self.level + units - room) / self.pace))
+        if (self.cap_rate and self.cap < units) or (most and self.out >= max(1, most // self.n)):
+            self.loop.post(desk.denied, job, 0, "ceiling")
+        elif not self.rate or self.lets(units):
+            self.loop.post(desk.granted, job)
+        else:
             # half an emission interval of the quota, and no use of others' waits
             if self.loop.now - self.asked_at > 0.5 / self.rate and not self.keeper.due:
                 self.loop.post(self.keeper.want, self)
-        if fits:
-            self.loop.post(desk.granted, job)
-        else:
-            why = "ceiling" if not wait else "full count" if fresh else "old total"
-            self.loop.post(desk.denied, job, wait, why)
+            why = "full count" if self.loop.now - self.synced <= self.length else "old total"
+            self.loop.post(desk.denied, job, round(min(1e9, units / self.pace)), why)
 
-    def lets(self, units: float, room: float) -> bool:
+    def lets(self, units: float) -> bool:
         """Whether the part has room; one too small for a req turns into one by chance."""
-        fits, small = self.whole + units <= self.depth + 1e-9, self.rate * self.length < self.n
-        if self.asked <= 0.8 * self.rate and (small or self.synced > self.loop.now - 10 * self.length):
-            return fits
-        if not small:
-            return self.level + units <= room + 1e-9
-        known = self.loop.now - self.synced <= 1 / self.rate
-        return (fits or not known) and self.loop.chance() < self.rate / self.asked
+        since, small = self.loop.now - self.synced, self.rate * self.length < self.n
+        fits = self.whole + units <= self.depth + 1e-9
+        if self.asked <= 0.8 * self.rate and (small or since < 10 * self.length):
+            return fits  # a customer well under its quota
+        if small:
+            return (fits or since > 1 / self.rate) and self.loop.chance() < self.rate / self.asked
+        # the whole burst while totals come, else this limiter's part of it
+        part = self.depth if since <= self.length else max(1.0, self.depth * min(1.0, self.pace / self.rate))
+        return self.level + units <= part + 1e-9
 
     def taken(self, units: float) -> None:
         self.out, self.cap = self.out + 1, self.cap - units
@@ -199,7 +193,7 @@
         self.own, self.unsent = self.own + units, self.unsent + units
         if not self.woken:  # a timer past the next edge, by when every limiter's last add has come or failed
             self.woken, edge = True, self.length - (self.loop.now + self.offset) % self.length
-            after = min(edge, 2400 * TENTHS_PER_S) + self.loop.settings.count_timeout + 1  # 40 minutes at most
+            after = min(edge, 2400 * TENTHS_PER_S) + self.loop.settings.count_timeout + 1  # 40 min at most
             self.loop.actions.append(api.Wake(after, self.digest))
         if self.unsent >= (self.depth - self.whole) / (2 * self.n):
             self.loop.post(self.keeper.want, self)
@@ -218,7 +212,7 @@
         self.loop.post(self.keeper.call, self, k, step)
 
     def idle(self) -> bool:
-        """Whether nothing is left to remember after some intervals: not use, nor spent units of the ceiling."""
+        """Whether nothing is left to remember after some intervals, not even spent units of the ceiling."""
         spent = self.cap + self.cap_rate * (self.loop.now - self.cap_at) < self.cap_depth
         return not self.out and not spent and self.loop.now - self.used_at > 10 * self.length
 
@@ -237,7 +231,7 @@
             self.metered_at = self.loop.now
             quota = self.rate * self.length
             self.meter += (percent / 100 * quota - self.meter) * min(1.0, period / self.length)
-            if self.keeper.down():
+            if self.keeper.failed >= 4:  # in a row: a crowded counter fails some calls, one that is down all
                 self.split(min(self.last[0], self.meter), self.meter)
 
     def counted(self, k: int, step: float, got: api.Counted) -> None:
@@ -246,7 +240,7 @@
         if got.outcome is not Outcome.PASSED:
             if got.outcome is not Outcome.NO_ANSWER and k == self.k:
                 self.tries += int(step // TRY)
-                self.unsent += step % TRY  # surely not added; one with no answer may have been and is not repeated
+                self.unsent += step % TRY  # surely not added; one with no answer may have been
             return
         step, total = step % TRY, got.total % TRY
         if k == self.k:
@@ -257,9 +251,8 @@
         else:
             return
         # A total below what surely was added means that the counter forgot: it must not swell a part.
-        forgot = forgot or total < sure - 1e-6 or total < known - 1e-6
-        self.forgot = forgot if k == self.k else self.forgot
-        if forgot:
+        if forgot or total < sure - 1e-6 or total < known - 1e-6:
+            self.forgot = self.forgot or k == self.k
             return
         others = max(known, total - own)
         self.whole = min(self.depth, self.whole + others - known)
@@ -276,7 +269,7 @@
         if k == self.k:
             self.others = others
         else:
-            self.last = (own, sure, others, forgot)
+            self.last = (own, sure, others, False)
             if not step:  # a read at the edge
                 self.split(own, max(total, own))
 
@@ -291,8 +284,8 @@
 class Keeper(Part):
     """Makes the calls to the counter, as often as this limiter's share of it bears.
 
-    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take long,
-    and all limiters slow down together. It may hurt when calls are lost by chance: use is added a little later.
+    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take
+    long, and all limiters slow down together. Where calls are lost by chance, use is added a little later.
     """
 
     def __init__(self, loop: Loop) -> None:
@@ -303,9 +296,6 @@
         self.start = self.pace = 300 / TENTHS_PER_S / max(1, loop.settings.limiters)
         self.left, self.left_at, self.failed, self.cut_at = 1.0, loop.now, 0, NEVER
 
-    def down(self) -> bool:
-        return self.failed >= 4  # in a row: a crowded counter fails some calls, one that is down all
-
     def take(self) -> bool:
         """Takes the right to one call, if there is one now."""
         now = self.loop.now
@@ -328,7 +318,7 @@
             self.loop.post(self.due.popitem()[0].report)
 
     def call(self, account: Account, k: int, step: float) -> None:
-        name = account.name(k)
+        name = account.digest << 15 | k & 0x7FFF
         self.waiting.setdefault(name, deque()).append((account, k, step))
         keep = min(3 * account.length + TENTHS_PER_S, 60 * TENTHS_PER_S)
         self.loop.actions.append(api.Count(name, step, keep))
@@ -355,7 +345,7 @@
 
     def __init__(self, loop: Loop, entry: api.Entry) -> None:
         super().__init__(loop)
-        self.srv, self.place = entry.srv, entry.srv * 0x9E3779B1 & 0xFFFFFFFF  # order on the ring, at all limiters
+        self.srv, self.place = entry.srv, entry.srv * 0x9E3779B1 & 0xFFFFFFFF  # place on the ring
         self.out: dict[tuple[int, int], int] = {}
         self.fresh(entry)
 
@@ -463,10 +453,10 @@
         self.window = self.window or 12 * len(self.ring) / max(1, self.loop.settings.limiters)
 
     def look(self) -> None:
-        """Chooses the servers to use: a stretch of the ring, the same few for long, so that their outcomes tell.
+        """Chooses the servers to use: a stretch of the ring, the same few for long, so that outcomes tell.
 
-        Sixteen limiters a server spread the load well; eight servers leave a choice. Those set aside are passed
-        over, within three times the stretch (a trouble common to most is not theirs): silent, or failing a frontend.
+        Sixteen limiters a server spread the load; eight servers leave a choice. Those set aside (silent, or
+        failing the frontend) are passed over, unless it is most: a trouble common to many is not theirs.
         """
         s, many = self.loop.settings, len(self.ring)
         reach = min(many, max(8, 16 * many // max(1, s.limiters)))
@@ -474,15 +464,10 @@
         stretch = [self.ring[(start + n) % many] for n in range(min(many, 3 * reach))]
         self.near, self.off, self.near_at = [], [], self.loop.now
         for front in range(len(self.rows)):
-            well, off = [], []
-            for srv in stretch:
-                (off if srv.aside(front) else well).append(srv)
-                if len(well) == reach:
-                    break
-            if len(well) * 3 < reach:
-                well, off = stretch[:reach], []
-            self.near.append(well)
-            self.off.append(off)
+            well = [v for v in stretch if not v.aside(front)][:reach]
+            few = len(well) * 3 < reach
+            self.near.append(stretch[:reach] if few else well)
+            self.off.append([] if few else [v for v in stretch[:reach] if v.aside(front)])
 
     def arrived(self, note: api.Arrived) -> None:
         account, plans = self.accounts.get(note.customer), self.loop.settings.plans
@@ -531,7 +516,11 @@
                 self.loop.post(job.account.free)
 
     def granted(self, job: Job) -> None:
-        srv = None if self.shed(job, (self.out + self.loop.chance()) / max(1e-9, self.window)) else self.pick(job)
+        """The fuller the servers, the more value for its work a req must bring, against the best seen lately."""
+        worth = job.worth / self.rows[job.note.frontend].times.mean(2000, 4)
+        self.best = max(worth, self.best * 0.999)  # halved in some 700 reqs
+        pressure = (self.out + self.loop.chance()) / max(1e-9, self.window)
+        srv = self.pick(job) if pressure <= 0.3 + 0.7 * worth / self.best else None
         if srv is None:
             self.loop.post(self.denied, job, 0, "servers full")
         else:
@@ -540,15 +529,6 @@
             self.loop.post(job.account.taken, job.note.units)
             self.dispatch(job, srv)
 
-    def shed(self, job: Job, pressure: float) -> bool:
-        """The fuller the servers, the more value for its work a req must bring, against the best seen lately.
-
-        Guards against overload of any cause; it may hurt where pressure is high with no late answers.
-        """
-        worth = job.worth / self.rows[job.note.frontend].times.mean(2000, 4)
-        self.best = max(worth, self.best * 0.999)  # halved in some 700 reqs
-        return pressure > 0.3 + 0.7 * worth / self.best
-
     def pick(self, job: Job) -> Server | None:
         """One of the servers in use: the shorter the expected wait, the likelier.
 
@@ -558,7 +538,7 @@
         if now - self.near_at > 2 * TENTHS_PER_S:
             self.look()
         near, off, row = self.near[front], self.off[front], self.rows[front]
-        if off and row.effect is Effect.REPLAYABLE and self.loop.chance() < 1 / 30:  # little is lost if all fail
+        if off and row.effect is Effect.REPLAYABLE and self.loop.chance() < 1 / 30:  # little to lose
             srv = off[int(self.loop.chance() * len(off))]
             if now - srv.trickle_at > TENTHS_PER_S / srv.trickle and self.cold_ok(srv):
                 srv.trickle_at = now
@@ -570,7 +550,7 @@
             if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
                 continue
             cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out)) * (100 if v.srv in tried else 1)
-            cost *= 1.05 if v.entry.hall != s.hall else 1.0  # crossing costs little; it decides between equals
+            cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
             if (best is None or cost < least) and self.cold_ok(v):
                 best, least = v, cost
@@ -636,7 +616,7 @@
     def judge(self, note: api.Ended, target: int) -> None:
         """The window aims at a short queue over all servers, known from all answers together.
 
-        Guards against overload of any cause; errors and silence are single servers' more often, and count less.
+        Guards against overload of any cause; silence is a single server's more often, and counts less.
         """
         bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         cut = bad.get(note.outcome, 0.0)
