--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -20,6 +20,7 @@
 
 NOT_RUN = {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT}  # these prove it
 NEVER = -(1 << 60)
+TRICKLE = 1 / 60  # of the reqs, to servers set aside: little is lost if all of them fail
 TRY = 1000  # a name counts use in its units and tries in its thousands: a total shows both
 
 
@@ -120,17 +121,16 @@
         self.offset = self.digest % self.length if self.length else 0  # spreads customers' edges
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
         self.level = self.whole = self.meter = 0.0
-        self.used_at = loop.now
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
         self.k, self.out = self.interval(), 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
         self.tries, self.asked = 0, 0.0  # tries not yet told; units a tenth asked at all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
-        # A limiter's share of the ceiling is empty when the limiter starts (it may have spent it before).
+        # A limiter's share of the ceiling is empty when the limiter starts, as it may have spent it before.
         self.cap_rate = plan.ceiling_rate / self.n / TENTHS_PER_S if plan else 0.0
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
-        self.cap_at, self.cap = loop.started, 0.0
+        self.cap, self.used_at = 0.0, loop.started
 
     def interval(self) -> int:
         return (self.loop.now + self.offset) // self.length if self.length else 0
@@ -142,8 +142,7 @@
         self.level = max(0.0, self.level - self.pace * gone)
         self.whole, self.used_at = max(0.0, self.whole - self.rate * gone), now
         if self.cap_rate:
-            self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.cap_at))
-            self.cap_at = now
+            self.cap = min(self.cap_depth, self.cap + self.cap_rate * gone)
         k = self.interval()
         if k != self.k:
             self.last = (self.own, self.confirmed, self.others, self.forgot)
@@ -213,8 +212,8 @@
 
     def idle(self) -> bool:
         """Whether nothing is left to remember after some intervals, not even spent units of the ceiling."""
-        spent = self.cap + self.cap_rate * (self.loop.now - self.cap_at) < self.cap_depth
-        return not self.out and not spent and self.loop.now - self.used_at > 10 * self.length
+        gone = self.loop.now - self.used_at
+        return not self.out and gone > 10 * self.length and self.cap + self.cap_rate * gone >= self.cap_depth
 
     def read(self) -> None:
         """Reads the finished total of the last interval."""
@@ -301,8 +300,7 @@
         now = self.loop.now
         most = max(2.0, 2000 * self.pace)  # a fifth of a second's calls at once
         self.left, self.left_at = min(most, self.left + self.pace * (now - self.left_at)), now
-        going = self.loop.settings.has_counter and self.left >= 1
-        self.left -= going
+        self.left -= (going := self.loop.settings.has_counter and self.left >= 1)
         return going
 
     def want(self, account: Account) -> None:
@@ -358,7 +356,7 @@
         self.failed_at = NEVER
         # by chance, so that limiters which hear of it together don't reach their first dispatch together
         self.cold_left, self.cold_at = self.loop.chance(), self.loop.now
-        self.trickle, self.trickle_at = 1.0, NEVER
+        self.trickle = TRICKLE
 
     def listed(self, entry: api.Entry) -> None:
         if entry.booted != self.entry.booted:
@@ -373,21 +371,17 @@
         return s.cold_from + (1 - s.cold_from) * max(0, age) / s.cold
 
     def aside(self, front: int) -> bool:
-        """Whether most of its last few outcomes failed, for this frontend or for want of any sign of life.
-
-        One that had no outcome for long gets another: where reqs must not run twice there is no trickle.
-        """
+        """Whether most of its last few outcomes failed, for this frontend or for want of any sign of life."""
         if self.loop.now - self.failed_at > 20 * TENTHS_PER_S:
-            return False
+            return False  # gets another chance: reqs that must not run twice make no trickle
         return any(len(r) - sum(r) >= max(2, sum(r)) for r in (self.recent[front], self.recent[-1]))
 
     def cold_room(self, carried: float) -> bool:
         """Whether the cold server's budget, as this limiter's share of it, holds one more."""
-        s = self.loop.settings
+        s, now = self.loop.settings, self.loop.now
         pace = s.fall_multiple * self.warmth() * carried
-        top = max(1.0, pace * s.tip_after / 2)
-        self.cold_left = min(top, self.cold_left + pace * (self.loop.now - self.cold_at))
-        self.cold_at = self.loop.now
+        self.cold_left += pace * (now - self.cold_at)
+        self.cold_left, self.cold_at = min(max(1.0, pace * s.tip_after / 2), self.cold_left), now
         return self.cold_left >= 1.0
 
     def send(self, req: int, number: int, expire: int) -> None:
@@ -401,11 +395,10 @@
         if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TURNED_AWAY):
             return
         good = outcome is Outcome.PASSED
-        life = good or outcome is Outcome.SERVER_ERROR
         self.failed_at = self.failed_at if good else now
         self.recent[front].append(good)
-        self.recent[-1].append(life)
-        self.trickle = min(100.0, self.trickle * 2) if good else 1.0
+        self.recent[-1].append(good or outcome is Outcome.SERVER_ERROR)
+        self.trickle = self.trickle * 2 if good else TRICKLE
         if outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             self.times.add(note.took)
 
@@ -475,8 +468,7 @@
         if account is None:
             account = Account(self.loop, self.keeper, note, plan)
             self.accounts[note.customer] = self.by_tag[note.digest] = account
-        eldest = next(iter(self.accounts.values()))  # one is looked at for each req
-        del self.accounts[eldest.customer]
+        eldest = self.accounts.pop(next(iter(self.accounts)))  # one is looked at for each req
         if eldest is account or not eldest.idle():
             self.accounts[eldest.customer] = eldest
         else:
@@ -505,8 +497,8 @@
         """Counts what befell reqs, and tells the operators every five seconds."""
         self.tally[why] = self.tally.get(why, 0) + 1
         if self.loop.now >= self.told + 5 * TENTHS_PER_S:
-            said = ", ".join(f"{k} {v}" for k, v in sorted(self.tally.items()))
-            self.loop.actions.append(api.Log(f"{said}, window {self.window:.1f}"))
+            said = [f"{k} {v}" for k, v in sorted(self.tally.items())] + [f"window {self.window:.1f}"]
+            self.loop.actions.append(api.Log(", ".join(said)))
             self.tally, self.told = {}, self.loop.now
 
     def forget(self, job: Job) -> None:
@@ -516,7 +508,7 @@
                 self.loop.post(job.account.free)
 
     def granted(self, job: Job) -> None:
-        """The fuller the servers, the more value for its work a req must bring, against the best seen lately."""
+        """The fuller the servers, the more value for its work a req must bring, beside the best lately."""
         worth = job.worth / self.rows[job.note.frontend].times.mean(2000, 4)
         self.best = max(worth, self.best * 0.999)  # halved in some 700 reqs
         pressure = (self.out + self.loop.chance()) / max(1e-9, self.window)
@@ -530,18 +522,15 @@
             self.dispatch(job, srv)
 
     def pick(self, job: Job) -> Server | None:
-        """One of the servers in use: the shorter the expected wait, the likelier.
-
-        The more limiters share the servers, the less the own dispatches tell and the more chance decides.
-        """
-        s, now, front = self.loop.settings, self.loop.now, job.note.frontend
-        if now - self.near_at > 2 * TENTHS_PER_S:
+        """One of the servers in use, the shorter the expected wait, the likelier: the more limiters share the
+        servers, the less the own dispatches tell and the more chance decides."""
+        s, front = self.loop.settings, job.note.frontend
+        if self.loop.now - self.near_at > 2 * TENTHS_PER_S:
             self.look()
         near, off, row = self.near[front], self.off[front], self.rows[front]
-        if off and row.effect is Effect.REPLAYABLE and self.loop.chance() < 1 / 30:  # little to lose
+        if off and row.effect is Effect.REPLAYABLE:
             srv = off[int(self.loop.chance() * len(off))]
-            if now - srv.trickle_at > TENTHS_PER_S / srv.trickle and self.cold_ok(srv):
-                srv.trickle_at = now
+            if self.loop.chance() < srv.trickle and self.cold_ok(srv):
                 return srv
         tried = {srv for srv, _ in job.sent}
         blur = s.limiters / (s.limiters + 60)
@@ -614,14 +603,11 @@
             self.again(job)
 
     def judge(self, note: api.Ended, target: int) -> None:
-        """The window aims at a short queue over all servers, known from all answers together.
-
-        Guards against overload of any cause; silence is a single server's more often, and counts less.
-        """
+        """The window aims at a short queue over all servers, known from all answers together. Guards against
+        overload of any cause; silence is a single server's more often, and counts less."""
         bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
-        cut = bad.get(note.outcome, 0.0)
         self.passed(note.outcome is Outcome.PASSED)
-        if cut:
+        if cut := bad.get(note.outcome, 0.0):
             least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
         elif note.took < 0.5 * target and self.out + 1 >= 0.3 * self.window:
