--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -122,9 +122,9 @@
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
         self.level = self.whole = self.meter = 0.0
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
-        self.k, self.out = self.interval(), 0
+        self.k = self.out = 0
         self.own = self.unsent = self.confirmed = self.others = 0.0
-        self.tries, self.asked = 0, 0.0  # tries not yet told; units a tenth asked at all limiters together
+        self.tries, self.asked = 0, 0.0  # tries not yet told; what is asked of all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
         # A limiter's share of the ceiling is empty when the limiter starts, as it may have spent it before.
@@ -132,18 +132,14 @@
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
         self.cap, self.used_at = 0.0, loop.started
 
-    def interval(self) -> int:
-        return (self.loop.now + self.offset) // self.length if self.length else 0
-
     def roll(self) -> None:
         """Lets the burst counts and the ceiling move with the clock, and turns to a new interval."""
-        now = self.loop.now
-        gone = now - self.used_at
+        now, gone = self.loop.now, self.loop.now - self.used_at
         self.level = max(0.0, self.level - self.pace * gone)
         self.whole, self.used_at = max(0.0, self.whole - self.rate * gone), now
         if self.cap_rate:
             self.cap = min(self.cap_depth, self.cap + self.cap_rate * gone)
-        k = self.interval()
+        k = (now + self.offset) // self.length if self.length else 0
         if k != self.k:
             self.last = (self.own, self.confirmed, self.others, self.forgot)
             if k > self.k + 1:
@@ -173,7 +169,7 @@
 
     def lets(self, units: float) -> bool:
         """Whether the part has room; one too small for a req turns into one by chance."""
-        since, small = self.loop.now - self.synced, self.rate * self.length < self.n
+        since, small = self.loop.now - self.synced, self.depth < self.n
         fits = self.whole + units <= self.depth + 1e-9
         if self.asked <= 0.8 * self.rate and (small or since < 10 * self.length):
             return fits  # a customer well under its quota
@@ -228,8 +224,7 @@
         period = self.loop.settings.meter_period
         if self.rate and self.loop.now - self.metered_at >= period:
             self.metered_at = self.loop.now
-            quota = self.rate * self.length
-            self.meter += (percent / 100 * quota - self.meter) * min(1.0, period / self.length)
+            self.meter += (percent / 100 * self.depth - self.meter) * min(1.0, period / self.length)
             if self.keeper.failed >= 4:  # in a row: a crowded counter fails some calls, one that is down all
                 self.split(min(self.last[0], self.meter), self.meter)
 
@@ -273,9 +268,9 @@
                 self.split(own, max(total, own))
 
     def split(self, own: float, total: float) -> None:
-        """The design's re-split of the quota of one interval."""
-        quota = self.rate * self.length
-        part = own + (quota - total) / self.n if total < quota else quota * (own + 1) / (total + self.n)
+        """The design's re-split of the quota of one interval, which is the burst."""
+        n, quota = self.n, self.depth
+        part = own + (quota - total) / n if total < quota else quota * (own + 1) / (total + n)
         self.pace = max(part, 1e-3) / self.length
         self.split_at = self.loop.now
 
@@ -297,8 +292,7 @@
 
     def take(self) -> bool:
         """Takes the right to one call, if there is one now."""
-        now = self.loop.now
-        most = max(2.0, 2000 * self.pace)  # a fifth of a second's calls at once
+        now, most = self.loop.now, max(2.0, 2000 * self.pace)  # a fifth of a second's calls at once
         self.left, self.left_at = min(most, self.left + self.pace * (now - self.left_at)), now
         self.left -= (going := self.loop.settings.has_counter and self.left >= 1)
         return going
@@ -330,9 +324,8 @@
         limit = self.loop.settings.count_timeout
         self.failed = 0 if got.outcome is Outcome.PASSED else self.failed + 1
         if (self.failed or got.took > limit / 2) and self.loop.now - self.cut_at > limit:
-            self.cut_at = self.loop.now
             # a fourth of the first pace is enough to find the counter back, and makes no wave then
-            self.pace = max(self.start / 4, self.pace * 0.7)
+            self.cut_at, self.pace = self.loop.now, max(self.start / 4, self.pace * 0.7)
         elif not self.failed and self.left < 1 and got.took < limit / 4:
             self.pace *= 1.15  # so that about a fourth of the calls are slow where all want more
         self.loop.post(account.counted, k, step, got)
@@ -344,7 +337,7 @@
     def __init__(self, loop: Loop, entry: api.Entry) -> None:
         super().__init__(loop)
         self.srv, self.place = entry.srv, entry.srv * 0x9E3779B1 & 0xFFFFFFFF  # place on the ring
-        self.out: dict[tuple[int, int], int] = {}
+        self.out = 0
         self.fresh(entry)
 
     def fresh(self, entry: api.Entry) -> None:
@@ -372,9 +365,9 @@
 
     def aside(self, front: int) -> bool:
         """Whether most of its last few outcomes failed, for this frontend or for want of any sign of life."""
-        if self.loop.now - self.failed_at > 20 * TENTHS_PER_S:
-            return False  # gets another chance: reqs that must not run twice make no trickle
-        return any(len(r) - sum(r) >= max(2, sum(r)) for r in (self.recent[front], self.recent[-1]))
+        # after long it gets another chance: reqs that must not run twice make no trickle
+        lately, rows = self.loop.now - self.failed_at <= 200_000, (self.recent[front], self.recent[-1])
+        return lately and any(len(r) - sum(r) >= max(2, sum(r)) for r in rows)
 
     def cold_room(self, carried: float) -> bool:
         """Whether the cold server's budget, as this limiter's share of it, holds one more."""
@@ -384,13 +377,13 @@
         self.cold_left, self.cold_at = min(max(1.0, pace * s.tip_after / 2), self.cold_left), now
         return self.cold_left >= 1.0
 
-    def send(self, req: int, number: int, expire: int) -> None:
+    def send(self, req: int, expire: int) -> None:
         self.cold_left -= 1
-        self.out[req, number] = self.loop.now
+        self.out += 1
         self.loop.actions.append(api.Dispatch(req, self.srv, expire))
 
     def ended(self, note: api.Ended, front: int) -> None:
-        self.out.pop((note.req, note.dispatch), None)
+        self.out -= 1
         now, outcome = self.loop.now, note.outcome
         if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TURNED_AWAY):
             return
@@ -425,20 +418,16 @@
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
     def listed(self, note: api.Listed) -> None:
-        gone = []
-        if note.whole:
-            named = {entry.srv for entry in note.entries}
-            gone = [replace(v.entry, phase=Phase.GONE) for v in self.servers.values() if v.srv not in named]
+        named = {entry.srv for entry in note.entries}
+        known = self.servers.values() if note.whole else ()
+        gone = [replace(v.entry, phase=Phase.GONE) for v in known if v.srv not in named]
         for entry in (*note.entries, *gone):
-            srv = self.servers.get(entry.srv)
-            if srv is None:
-                srv = self.servers[entry.srv] = Server(self.loop, entry)
+            srv = self.servers.get(entry.srv) or Server(self.loop, entry)
+            self.servers[entry.srv] = srv
             at = bisect_left(self.ring, srv.place, key=lambda v: v.place)
             there = at < len(self.ring) and self.ring[at] is srv
-            if entry.phase is Phase.LIVE and not there:
-                self.ring.insert(at, srv)
-            elif entry.phase is not Phase.LIVE and there:
-                del self.ring[at]
+            if (entry.phase is Phase.LIVE) != there:
+                self.ring[at : at + there] = [] if there else [srv]
             if entry.phase is Phase.GONE and not srv.out:
                 del self.servers[entry.srv]
             self.loop.post(srv.listed, entry)
@@ -502,10 +491,8 @@
             self.tally, self.told = {}, self.loop.now
 
     def forget(self, job: Job) -> None:
-        if job.done and job.ended == len(job.sent):
-            self.jobs.pop(job.note.req, None)
-            if job.sent:
-                self.loop.post(job.account.free)
+        if job.done and job.ended == len(job.sent) and self.jobs.pop(job.note.req, None) and job.sent:
+            self.loop.post(job.account.free)
 
     def granted(self, job: Job) -> None:
         """The fuller the servers, the more value for its work a req must bring, beside the best lately."""
@@ -532,13 +519,12 @@
             srv = off[int(self.loop.chance() * len(off))]
             if self.loop.chance() < srv.trickle and self.cold_ok(srv):
                 return srv
-        tried = {srv for srv, _ in job.sent}
-        blur = s.limiters / (s.limiters + 60)
+        tried, blur = {srv for srv, _ in job.sent}, s.limiters / (s.limiters + 60)
         best, least, mean = None, 0.0, self.times.mean(2000, 4)
         for v in near:
-            if not self.may_repeat(job, v) or len(v.out) > max(1.0, 2 * self.window / len(near)):
+            if not self.may_repeat(job, v) or v.out > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(mean, 3) / v.warmth() * (1 + len(v.out)) * (100 if v.srv in tried else 1)
+            cost = v.times.mean(mean, 3) / v.warmth() * (1 + v.out) * (100 if v.srv in tried else 1)
             cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
             if (best is None or cost < least) and self.cold_ok(v):
@@ -568,15 +554,14 @@
         return known and all(part(e) == part(here) for e, _ in before)
 
     def dispatch(self, job: Job, srv: Server) -> None:
-        now, row = self.loop.now, self.rows[job.note.frontend]
-        expire = job.note.give_up
+        now, row, expire = self.loop.now, self.rows[job.note.frontend], job.note.give_up
         if row.effect is Effect.REPLAYABLE and len(job.sent) + 1 < self.loop.settings.try_limit:
             # three times what nearly all answers take: whoever is silent so long leaves time for another
             wait = 3 * row.times.quantile(0.97, row.target / 4)
             if now + wait + row.times.mean(row.target / 4, 1) < job.target:
                 expire = min(expire, now + round(wait))
         self.out += 1
-        self.loop.post(srv.send, job.note.req, len(job.sent), expire)
+        self.loop.post(srv.send, job.note.req, expire)
         job.sent.append((srv.srv, now))
 
     def ended(self, note: api.Ended) -> None:
@@ -631,14 +616,12 @@
             self.answer(job, "aborted", api.Abort(job.note.req))
 
     def vanished(self, note: api.Vanished) -> None:
-        job = self.jobs.get(note.req)
-        if job is not None:
+        if job := self.jobs.get(note.req):
             job.done = True
             self.forget(job)
 
     def woke(self, note: api.Woke) -> None:
-        account = self.by_tag.get(note.tag)
-        if account is not None:
+        if account := self.by_tag.get(note.tag):
             self.loop.post(account.read)
 
 
@@ -648,12 +631,8 @@
         self.keeper = Keeper(self.loop)
         self.desk = desk = Desk(self.loop, self.keeper)
         self.handlers = {
-            api.Listed: desk.listed,
-            api.Arrived: desk.arrived,
-            api.Ended: desk.ended,
-            api.Vanished: desk.vanished,
-            api.Woke: desk.woke,
-            api.Counted: self.keeper.counted,
+            api.Listed: desk.listed, api.Arrived: desk.arrived, api.Ended: desk.ended, api.Woke: desk.woke,
+            api.Vanished: desk.vanished, api.Counted: self.keeper.counted,
         }
 
     def handle(self, now: int, note: api.Note) -> list[api.Action]:
