--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -77,6 +77,7 @@
         self.told: list[dict[int, int]] = [{} for _ in range(limiters)]
         self.ceilings: dict[int, tuple[float, int]] = {}
         self.sends: list[tuple[int, int]] = []  # time and server
+        self.stalled: int | None = None
         for n in range(limiters):
             self.start(n)
 
@@ -166,12 +167,12 @@
         """Moves the clock, with timers, expiries and the end of each client's patience on the way."""
         end = self.now + span
         while True:
-            dues = [t[0] for t in self.timers] + [o[3] for o in self.out.values()]
+            dues = [t[0] for t in self.timers if t[1] != self.stalled] + [o[3] for o in self.out.values()]
             first = min(dues, default=end + 1)
             if first > end:
                 break
             self.now = max(self.now, first)
-            for due in [t for t in self.timers if t[0] <= self.now]:
+            for due in [t for t in self.timers if t[0] <= self.now and t[1] != self.stalled]:
                 self.timers.remove(due)
                 self.give(due[1], api.Woke(due[2]))
             for key in [k for k, o in self.out.items() if o[3] <= self.now]:
