--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -503,7 +503,7 @@
         if srv is None:
             self.loop.post(self.denied, job, 0, "servers full")
         else:
-            self.spare = min(10.0, self.spare + 0.1)  # one further dispatch for ten first ones, ten at once
+            self.spare = min(10.0, self.spare + 0.25)  # one further dispatch for four first ones, ten at once
             self.note("sent")
             self.loop.post(job.account.taken, job.note.units)
             self.dispatch(job, srv)
