--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -158,7 +158,7 @@
         self.tries += 1
         if (self.cap_rate and self.cap < units) or (most and self.out >= max(1, most // self.n)):
             self.loop.post(desk.denied, job, 0, "ceiling")
-        elif not self.rate or self.lets(units):
+        elif not self.rate or self.lets(units, job.note.retry):
             self.loop.post(desk.granted, job)
         else:
             # half an emission interval of the quota, and no use of others' waits
@@ -167,12 +167,13 @@
             why = "full count" if self.loop.now - self.synced <= self.length else "old total"
             self.loop.post(desk.denied, job, round(min(1e9, units / self.pace)), why)
 
-    def lets(self, units: float) -> bool:
+    def lets(self, units: float, retry: bool) -> bool:
         """Whether the part has room; one too small for a req turns into one by chance."""
         since, small = self.loop.now - self.synced, self.depth < self.n
         fits = self.whole + units <= self.depth + 1e-9
         if self.asked <= 0.8 * self.rate and (small or since < 10 * self.length):
-            return fits  # a customer well under its quota
+            # a customer well under its quota; one unseen here that comes again was denied elsewhere
+            return fits and not (small and retry and self.synced == NEVER)
         if small:
             return (fits or since > 1 / self.rate) and self.loop.chance() < self.rate / self.asked
         # the whole burst while totals come, else this limiter's part of it
