--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -168,11 +168,10 @@
             self.loop.post(desk.denied, job, round(min(1e9, units / self.pace)), why)
 
     def lets(self, units: float, retry: bool) -> bool:
-        """Whether the part has room; one too small for a req turns into one by chance."""
+        """Whether the part has room, one too small for a req by chance; a req that comes again was denied."""
         since, small = self.loop.now - self.synced, self.depth < self.n
         fits = self.whole + units <= self.depth + 1e-9
         if self.asked <= 0.8 * self.rate and (small or since < 10 * self.length):
-            # a customer well under its quota; one unseen here that comes again was denied elsewhere
             return fits and not (small and retry and self.synced == NEVER)
         if small:
             return (fits or since > 1 / self.rate) and self.loop.chance() < self.rate / self.asked
@@ -594,7 +593,7 @@
         bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         self.passed(note.outcome is Outcome.PASSED)
         if cut := bad.get(note.outcome, 0.0):
-            least = len(self.ring) / max(1, self.loop.settings.limiters)  # one a server by all limiters
+            least = 3 * len(self.ring) / max(1, self.loop.settings.limiters)  # three a server by all
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
         elif note.took < 0.5 * target and self.out + 1 >= 0.3 * self.window:
             self.window += 0.1 * min(1.0, self.window)  # one late answer in ten holds it
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -198,5 +198,5 @@
     """Found by main-campus later: over 100 limiters a part is tiny and most of the quota lay idle."""
     acct = account(1.0, 4.0, sets=100, has_counter=True)
     acct.asked, acct.synced, acct.loop.now = 4 * acct.rate, 0, 20 * S
-    passed = sum(acct.lets(1.0) for _ in range(1000))
+    passed = sum(acct.lets(1.0, False) for _ in range(1000))
     assert 200 < passed < 300
