--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -104,8 +104,8 @@
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
-        self.value, self.late = front.value, front.late_value
-        self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
+        # some ten seconds of answers, enough for a tail of two in a hundred
+        self.value, self.late, self.times = front.value, front.late_value, Histogram(400)
 
 
 class Account(Part):
@@ -413,7 +413,7 @@
         self.ring: list[Server] = []  # live servers in an order that all limiters share
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off: list[list[Server]] = []  # and those among them that are set aside
-        self.near_at = NEVER
+        self.near_at, self.hint = NEVER, 1.0
         # dispatches out at once over all servers: a dozen a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
@@ -445,6 +445,7 @@
         start = s.me * many // max(1, s.limiters)
         stretch = [self.ring[(start + n) % many] for n in range(min(many, 3 * reach))]
         self.near, self.off, self.near_at = [], [], self.loop.now
+        self.hint = sum(v.entry.hint for v in stretch) / max(1, len(stretch))
         for front in range(len(self.rows)):
             well = [v for v in stretch if not v.aside(front)][:reach]
             few = len(well) * 3 < reach
@@ -524,7 +525,8 @@
         for v in near:
             if not self.may_repeat(job, v) or v.out > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(mean, 3) / v.warmth() * (1 + v.out) * (100 if v.srv in tried else 1)
+            cost = v.times.mean(mean * self.hint / max(0.01, v.entry.hint), 3) / v.warmth() * (1 + v.out)
+            cost *= 100 if v.srv in tried else 1
             cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
             if (best is None or cost < least) and self.cold_ok(v):
