--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from math import log
@@ -413,7 +413,7 @@
         self.ring: list[Server] = []  # live servers in an order that all limiters share
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off: list[list[Server]] = []  # and those among them that are set aside
-        self.near_at, self.hint = NEVER, 1.0
+        self.near_at, self.kinds = NEVER, defaultdict(lambda: Histogram(100))
         # dispatches out at once over all servers: a dozen a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
@@ -445,7 +445,6 @@
         start = s.me * many // max(1, s.limiters)
         stretch = [self.ring[(start + n) % many] for n in range(min(many, 3 * reach))]
         self.near, self.off, self.near_at = [], [], self.loop.now
-        self.hint = sum(v.entry.hint for v in stretch) / max(1, len(stretch))
         for front in range(len(self.rows)):
             well = [v for v in stretch if not v.aside(front)][:reach]
             few = len(well) * 3 < reach
@@ -525,7 +524,7 @@
         for v in near:
             if not self.may_repeat(job, v) or v.out > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(mean * self.hint / max(0.01, v.entry.hint), 3) / v.warmth() * (1 + v.out)
+            cost = v.times.mean(self.kinds[v.entry.kind].mean(mean, 1), 6) / v.warmth() * (1 + v.out)
             cost *= 100 if v.srv in tried else 1
             cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
@@ -581,6 +580,7 @@
         if note.outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             row.times.add(note.took)
             self.times.add(note.took)
+            self.kinds[srv.entry.kind].add(note.took)
         if note.outcome not in NOT_RUN:
             job.maybe.append(note.dispatch)
         job.done = job.done or note.final
