--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from math import log
@@ -104,8 +104,8 @@
     def __init__(self, front) -> None:
         self.effect, self.group, self.window = front.effect, front.group, front.repeat_window
         self.target, self.timeout = front.response_target, front.client_timeout
-        # some ten seconds of answers, enough for a tail of two in a hundred
-        self.value, self.late, self.times = front.value, front.late_value, Histogram(400)
+        self.value, self.late = front.value, front.late_value
+        self.times = Histogram(400)  # some ten seconds of answers, enough for a tail of two in a hundred
 
 
 class Account(Part):
@@ -413,7 +413,7 @@
         self.ring: list[Server] = []  # live servers in an order that all limiters share
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off: list[list[Server]] = []  # and those among them that are set aside
-        self.near_at, self.kinds = NEVER, defaultdict(lambda: Histogram(100))
+        self.near_at = NEVER
         # dispatches out at once over all servers: a dozen a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
@@ -524,8 +524,7 @@
         for v in near:
             if not self.may_repeat(job, v) or v.out > max(1.0, 2 * self.window / len(near)):
                 continue
-            cost = v.times.mean(self.kinds[v.entry.kind].mean(mean, 1), 6) / v.warmth() * (1 + v.out)
-            cost *= 100 if v.srv in tried else 1
+            cost = v.times.mean(mean, 3) / v.warmth() * (1 + v.out) * (100 if v.srv in tried else 1)
             cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
             cost *= (-log(1 - self.loop.chance())) ** blur
             if (best is None or cost < least) and self.cold_ok(v):
@@ -580,7 +579,6 @@
         if note.outcome in (Outcome.PASSED, Outcome.NO_ANSWER):
             row.times.add(note.took)
             self.times.add(note.took)
-            self.kinds[srv.entry.kind].add(note.took)
         if note.outcome not in NOT_RUN:
             job.maybe.append(note.dispatch)
         job.done = job.done or note.final
