--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -414,7 +414,7 @@
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off: list[list[Server]] = []  # and those among them that are set aside
         self.near_at = NEVER
-        # dispatches out at once over all servers: two dozen a server by all limiters at first
+        # dispatches out at once over all servers: seven a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
     def listed(self, note: api.Listed) -> None:
@@ -432,7 +432,7 @@
                 del self.servers[entry.srv]
             self.loop.post(srv.listed, entry)
         self.near_at = NEVER
-        self.window = self.window or 24 * len(self.ring) / max(1, self.loop.settings.limiters)
+        self.window = self.window or 7 * len(self.ring) / max(1, self.loop.settings.limiters)
 
     def look(self) -> None:
         """Chooses the servers to use: a stretch of the ring, the same few for long, so that outcomes tell.
