--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -227,6 +227,7 @@
             self.meter += (percent / 100 * self.depth - self.meter) * min(1.0, period / self.length)
             if self.keeper.failed >= 4:  # in a row: a crowded counter fails some calls, one that is down all
                 self.split(min(self.last[0], self.meter), self.meter)
+                self.asked, self.synced = self.meter / self.length, self.loop.now - 2 * self.length
 
     def counted(self, k: int, step: float, got: api.Counted) -> None:
         """A total came, or none."""
@@ -436,10 +437,8 @@
 
     def look(self) -> None:
         """Chooses the servers to use: a stretch of the ring, the same few for long, so that outcomes tell.
-
         Sixteen limiters a server spread the load; eight servers leave a choice. Those set aside (silent, or
-        failing the frontend) are passed over, unless it is most: a trouble common to many is not theirs.
-        """
+        failing the frontend) are passed over, unless it is most: a trouble common to many is not theirs."""
         s, many = self.loop.settings, len(self.ring)
         reach = min(many, max(8, 16 * many // max(1, s.limiters)))
         start = s.me * many // max(1, s.limiters)
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -82,16 +82,27 @@
     assert keeper.pace < before
 
 
+def test_the_meter_stands_in_while_the_counter_is_down() -> None:
+    """Found by if0ee5e: with a silent counter a customer well under its quota had a third of its burst."""
+    acct = account(2.0, 6.0, sets=3, has_counter=True)
+    acct.loop.settings = replace(acct.loop.settings, meter_period=S)
+    acct.loop.now, acct.keeper.failed = 100 * S, 4
+    acct.metered(30)
+    for _ in range(4):
+        assert acct.lets(1.0, False)
+        acct.taken(1.0)
+
+
 def test_the_window_shrinks_before_answers_are_late() -> None:
     """Found by if6de07: windows that are cut only near the target hold a queue as long as the target."""
     brain = alone(servers=1)
-    now, before = 0, brain.desk.window
+    now = 0
     for req in range(40):
         sent = pick(brain.handle(now, arrival(req, now)), api.Dispatch)
         now += int(0.9 * S)
         for act in sent:
             brain.handle(now, api.Ended(act.req, 0, 0, Outcome.PASSED, int(0.9 * S), True, 0, 0.0))
-    assert brain.desk.window < before / 2
+    assert brain.desk.window == pytest.approx(5 / 3)  # five a server by all three limiters
 
 
 def test_a_non_replayable_req_that_may_have_run_is_aborted_not_denied() -> None:
