--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -594,7 +594,7 @@
         if cut := bad.get(note.outcome, 0.0):
             least = 5 * len(self.ring) / max(1, self.loop.settings.limiters)  # five a server by all
             self.window = max(least, self.window - cut * min(1.0, 0.3 * self.window))
-        elif note.took < 0.5 * target and self.out + 3 >= 0.4 * self.window:
+        elif note.took < 0.5 * target and self.out + 1 >= 0.4 * self.window:
             self.window += 0.1 * min(1.0, self.window)  # one late answer in ten holds it
 
     def again(self, job: Job) -> None:
