--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -211,3 +211,22 @@
     acct.asked, acct.synced, acct.loop.now = 4 * acct.rate, 0, 20 * S
     passed = sum(acct.lets(1.0, False) for _ in range(1000))
     assert 200 < passed < 300
+
+
+@pytest.mark.parametrize(("limiters", "sets", "servers"), [(3, 255, 300), (380, 0, 1), (1, 1, 0), (0, 7, 9)])
+def test_odd_sizes_and_a_leaping_clock_raise_nothing(limiters: int, sets: int, servers: int) -> None:
+    plans = (replace(PLANS[1], rate=1e-4, burst=2.0, ceiling_depth=0.01), *PLANS[1:])
+    brain, now, answered = alone(servers=servers, limiters=limiters, plans=plans, me=2), 0, 0
+    for req in range(200):
+        now += 1 if req % 9 else 700 * S
+        acts = brain.handle(now, arrival(req, now, req % 4, req % 4, req % 7, sets))
+        answered += len(pick(acts, api.Dispatch)) + len(pick(acts, api.Deny))
+        for act in pick(acts, api.Dispatch):
+            brain.handle(now, api.Ended(act.req, 0, act.srv, Outcome.PASSED, 100, True, 0, 0.0))
+        for act in pick(acts, api.Count):
+            brain.handle(now, api.Counted(act.name, Outcome.PASSED, -5.0, 30))
+        for act in pick(acts, api.Wake):
+            brain.handle(now + act.after, api.Woke(act.tag))
+    assert answered == 200
+    brain.handle(now, api.Listed((), True))
+    assert pick(brain.handle(now, arrival(999, now)), api.Deny)
