--- a/loomstand/adapter/__main__.py
+++ b/loomstand/adapter/__main__.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import sys
-from hashlib import blake2b
-from math import ceil, floor
 from typing import BinaryIO
 
 import msgspec
@@ -12,9 +10,9 @@
 from loomstand import interface as i
 from loomstand.adapter import wire as w
 from loomstand.brain import Brain
+from loomstand.config import settings
+from loomstand.door import Door, Unknown, digest, down, up
 
-EFFECTS = {"pure": i.Effect.REPLAYABLE, "token": i.Effect.UNIQUED, "side_effect": i.Effect.NON_REPLAYABLE}
-GROUPS = {"all": i.Group.ALL, "zone": i.Group.HALL, "cell": i.Group.POD}
 OUTCOMES = {
     "served": i.Outcome.PASSED,
     "server_error": i.Outcome.SERVER_ERROR,
@@ -32,41 +30,6 @@
     """A line that can't be obeyed."""
 
 
-def up(ms: float) -> int:
-    """Tenths, rounded so that no span or reading comes out too small."""
-    return ceil(round(ms * 10, 3))
-
-
-def down(ms: float) -> int:
-    """Tenths, rounded so that no deadline comes out too late."""
-    return floor(round(ms * 10, 3))
-
-
-def digest(text: str) -> int:
-    """The same 48 bits for the same text at every limiter."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=6).digest(), "big")
-
-
-class Door:
-    """Hands out small indices for names, in order of sight."""
-
-    def __init__(self, names: list[str] | None = None) -> None:
-        self.names: list[str] = list(names or [])
-        self.index = {name: n for n, name in enumerate(self.names)}
-
-    def at(self, name: str) -> int:
-        n = self.index.get(name)
-        if n is None:
-            n = self.index[name] = len(self.names)
-            self.names.append(name)
-        return n
-
-    def known(self, name: str, field: str) -> int:
-        if name not in self.index:
-            raise BadLine(f"field '{field}': '{name}' is not in the settings or lists")
-        return self.index[name]
-
-
 class Instance:
     """One limiter: its Brain and the doors that name things for it."""
 
@@ -163,59 +126,6 @@
         return said
 
 
-def settings(conf: w.Conf, hall: int) -> i.Settings:
-    """The settings in our words."""
-    allowed, specifics, rules = conf.allowed, conf.specifics, conf.rules
-    return i.Settings(
-        me=conf.me,
-        limiters=conf.balancers,
-        hall=hall,
-        frontends=tuple(
-            i.Frontend(
-                EFFECTS[g.effect],
-                GROUPS[g.group],
-                down(g.repeat_window),
-                down(g.on_time),
-                down(g.deadline),
-                g.points,
-                g.late_value,
-                g.stream,
-            )
-            for g in conf.grades
-        ),
-        plans=tuple(
-            i.Plan(
-                p.refill,
-                p.store_size,
-                int(p.at_once),
-                p.worth_factor,
-                p.excess_worth,
-                p.excess_cost,
-                p.ceiling_rate,
-                p.cap_depth,
-                p.ceiling_slack,
-            )
-            for p in conf.plans
-        ),
-        try_limit=allowed.try_limit,
-        may_cancel=allowed.cancel,
-        may_probe=allowed.may_probe,
-        second_copies=allowed.second_copies,
-        retry_after=allowed.retry_after,
-        max_retry_after=down(allowed.max_retry_after),
-        has_counter=specifics.has_counter,
-        count_timeout=up(specifics.count_limit),
-        meter_period=up(specifics.metering),
-        max_units=max(1, ceil(specifics.max_units)),
-        drain_grace=down(rules.drain_grace),
-        cold=up(rules.cold),
-        cold_from=rules.cold_from,
-        fall_multiple=rules.fall_multiple,
-        tip_after=up(rules.tip_after),
-        answer_slack=down(rules.answer_slack),
-    )
-
-
 class Host:
     """Reads batches, feeds each instance its own notes and writes one reply a batch."""
 
@@ -277,7 +187,7 @@
             continue
         try:
             host.take(raw)
-        except (BadLine, msgspec.DecodeError, UnicodeDecodeError) as why:
+        except (BadLine, Unknown, msgspec.DecodeError, UnicodeDecodeError) as why:
             print(f"loomstand: {message_name(raw)}: {why}", file=sys.stderr)
             return 1
     return 0
--- a/loomstand/adapter/wire.py
+++ b/loomstand/adapter/wire.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from loomstand.config import Conf, Part
+
 Outcomes = Literal[
     "served",
     "server_error",
@@ -18,73 +20,6 @@
 ]
 
 
-class Part(msgspec.Struct, kw_only=True):
-    """A piece of a message."""
-
-
-class Grade(Part):
-    name: str
-    effect: Literal["pure", "token", "side_effect"]
-    on_time: float
-    deadline: float
-    points: float
-    group: Literal["all", "zone", "cell"] = "all"
-    repeat_window: float = 0.0
-    late_value: float = 0.0
-    stream: bool = False
-
-
-class PlanConf(Part):
-    name: str
-    refill: float = 0.0
-    store_size: float = 0.0
-    at_once: float = 0
-    worth_factor: float = 1.0
-    excess_worth: float = 0.0
-    excess_cost: float = 0.0
-    ceiling_rate: float = 0.0
-    cap_depth: float = 0.0
-    ceiling_slack: float = 0.0
-
-
-class Allowed(Part):
-    try_limit: int = 1
-    cancel: bool = False
-    may_probe: bool = False
-    second_copies: bool = False
-    retry_after: bool = False
-    max_retry_after: float = 0.0
-
-
-class Specifics(Part):
-    has_counter: bool = False
-    count_limit: float = 0.0
-    metering: float = 0.0
-    max_units: float = 1
-
-
-class Rules(Part):
-    answer_slack: float = 0.0
-    cold: float = 0.0
-    cold_from: float = 1.0
-    drain_grace: float = 0.0
-    fall_multiple: float = 1.0
-    tip_after: float = 0.0
-
-
-class Conf(Part):
-    balancers: int
-    me: int
-    az: str
-    grades: list[Grade]
-    plans: list[PlanConf] = []
-    zones: list[str] = []
-    kinds: list[str] = []
-    allowed: Allowed = msgspec.field(default_factory=Allowed)
-    specifics: Specifics = msgspec.field(default_factory=Specifics)
-    rules: Rules = msgspec.field(default_factory=Rules)
-
-
 class Item(Part):
     server: str
     phase: Literal["live", "quiescing", "dead"]
--- /dev/null
+++ b/loomstand/net/clients.py
@@ -0,0 +1,148 @@
+"""Clients: the listener, their connections, and the check of what they send."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from loomstand.net import http
+from loomstand.net.driver import Wire
+from loomstand.net.endings import Ending
+
+if TYPE_CHECKING:
+    from loomstand.net.limiter import Limiter, Req
+
+ACCOUNT = re.compile(rb"[?&]account=([0-9a-fA-F]{16})(?:&|$)").search
+DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?").fullmatch
+MILLIS = re.compile(rb"[0-9]{1,9}").fullmatch
+
+
+class Client:
+    """A client's connection: one req at a time."""
+
+    __slots__ = ("busy_at", "front", "machine", "req", "since", "wire")
+
+    def __init__(self, front: Front) -> None:
+        self.front, self.machine = front, http.RequestReceiver()
+        self.wire = Wire(self, front.limiter.room, http.MOST_RING)
+        self.req: Req | None = None
+        self.since = self.busy_at = front.limiter.arrived_at()
+
+    def opened(self) -> None:
+        self.front.let_in(self)
+
+    def received(self) -> None:
+        now = self.front.limiter.arrived_at()
+        self.busy_at = now
+        self.take(now if self.since is None else min(now, self.since))
+        self.since = None
+
+    def take(self, at: float) -> None:
+        """Hands on the reqs that are whole, one after the other."""
+        wire, machine = self.wire, self.machine
+        while self.req is None and wire.ending is None and not wire.lingering:
+            try:
+                if not machine.step(wire.inbound):
+                    return
+            except http.Malformed as why:
+                self.answer(why.status, f"{why}\n".encode(), close=True)
+                return
+            self.handle(at)
+
+    def handle(self, at: float) -> None:
+        limiter, machine = self.front.limiter, self.machine
+        if machine.target.startswith(b"/-/"):
+            status = 404
+            if machine.target == b"/-/ready" and machine.method == b"GET":
+                status = 200 if limiter.able else 503
+            self.answer(status)
+            return
+        try:
+            ask = limiter.read(machine)
+        except http.Malformed as why:
+            # the message was whole: the connection can go on
+            self.answer(why.status, f"{why}\n".encode())
+            return
+        self.front.limiter.take(self, ask, at)
+
+    def answer(self, status: int, body: bytes = b"", extra: str = "", close: bool = False) -> None:
+        """Writes one whole answer, and makes ready for the next req."""
+        close = close or self.machine.close or self.front.stopping
+        self.req = None
+        self.busy_at = self.front.limiter.loop.time()
+        self.machine.reset()
+        if not self.wire.send(http.answer(status, body, extra, close)):
+            self.wire.stop(Ending.NO_ROOM)
+        elif close:
+            self.wire.finish()
+
+    def next(self) -> None:
+        """Takes up what came while a req was being answered."""
+        if len(self.wire.inbound):
+            self.take(self.busy_at)
+
+    def ended(self, why: Ending) -> None:
+        self.front.gone(self)
+
+    @property
+    def idle(self) -> bool:
+        return (
+            self.req is None and not len(self.wire.inbound) and not self.machine.begun and self.wire.written
+        )
+
+
+class Front:
+    """Listens for clients and bounds their connections."""
+
+    def __init__(self, limiter: Limiter, most: int) -> None:
+        self.limiter, self.most = limiter, most
+        self.clients: dict[Client, None] = {}  # those long without a req first
+        self.server: asyncio.Server | None = None
+        self.stopping = False
+
+    async def listen(self, address: tuple[str, int]) -> None:
+        make: Callable[[], Wire] = lambda: Client(self).wire  # noqa: E731
+        self.server = await self.limiter.loop.create_server(
+            make, *address, backlog=self.most, reuse_address=True
+        )
+
+    def let_in(self, client: Client) -> None:
+        self.clients[client] = None
+        if len(self.clients) > self.most:
+            # the longest idle makes room; where none is idle the newest is turned away, unread
+            old = min(
+                (c for c in self.clients if c.idle and c is not client), key=lambda c: c.busy_at, default=None
+            )
+            if old is None:
+                client.answer(503, close=True)
+            else:
+                old.wire.stop(Ending.IDLE)
+
+    def gone(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        if client.req is not None:
+            req, client.req = client.req, None
+            self.limiter.vanished(req)
+
+    def sweep(self, patience: float) -> None:
+        """Ends connections that stopped within a message, don't take their answer, or linger."""
+        now = self.limiter.loop.time()
+        for client in list(self.clients):
+            if client.req is None and not client.idle and now - client.busy_at > patience:
+                if client.wire.lingering or not client.wire.written:
+                    client.wire.stop(Ending.STALLED)
+                else:
+                    client.answer(408, close=True)
+
+    def stop(self) -> None:
+        """No connection stays open between reqs; new ones are still taken."""
+        self.stopping = True
+        for client in list(self.clients):
+            if client.idle:
+                client.wire.stop(Ending.STOPPING)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/loomstand/net/counter.py
@@ -0,0 +1,147 @@
+"""The counter: calls written one behind another on one connection, each with its own time-out."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from loomstand.door import up
+from loomstand.interface import Count, Outcome
+from loomstand.net import http
+from loomstand.net.driver import Wire, connect
+from loomstand.net.endings import Ending, call_outcome, called
+
+if TYPE_CHECKING:
+    from loomstand.net.limiter import Limiter
+
+TOTAL = re.compile(rb"\s*-?[0-9]+(?:\.[0-9]*)?(?:[eE][-+]?[0-9]{1,3})?\s*").fullmatch
+
+
+class Call:
+    """A call whose answer is owed; `told` once the module has its outcome."""
+
+    __slots__ = ("at", "link", "name", "told", "written")
+
+    def __init__(self, name: int, at: float) -> None:
+        self.name, self.at = name, at
+        self.told = self.written = False
+
+
+class Line:
+    """A connection to the counter, and the calls on it in their order."""
+
+    __slots__ = ("calls", "heard_at", "keeper", "machine", "off", "up", "wire")
+
+    def __init__(self, counter: Counter) -> None:
+        self.keeper, self.up = counter, False
+        self.machine = http.ResponseReceiver()
+        self.wire = Wire(self, counter.limiter.room, http.MOST_RING)
+        self.calls: deque[Call] = deque()
+        self.heard_at = counter.limiter.loop.time()
+        self.off: Callable[[], None] = lambda: None
+
+    def opened(self) -> None:
+        self.up = True
+        self.keeper.flush()
+
+    def received(self) -> None:
+        self.heard_at = self.keeper.limiter.loop.time()
+        try:
+            while self.wire.ending is None and self.machine.step(self.wire.inbound):
+                if not self.calls:
+                    raise http.Malformed(502, "an answer to no call")
+                status, body, close = self.machine.status, self.machine.body, self.machine.close
+                self.machine.reset()
+                self.keeper.answered(self.calls.popleft(), status, body)
+                if close:
+                    self.wire.stop(Ending.FINISHED)
+        except http.Malformed:
+            self.wire.stop(Ending.MALFORMED)
+
+    def ended(self, why: Ending) -> None:
+        self.off()
+        self.keeper.lost(self, why)
+
+
+class Counter:
+    """Makes calls and tells the module their outcomes."""
+
+    def __init__(
+        self, limiter: Limiter, address: tuple[str, int], timeout: float, connect_timeout: float
+    ) -> None:
+        self.limiter, self.address = limiter, address
+        self.timeout, self.connect_timeout = timeout, connect_timeout
+        self.line: Line | None = None
+        self.queue: deque[tuple[Call, bytes]] = deque()  # calls for a connection that is coming up
+        self.open: deque[Call] = deque()  # all calls without an outcome, the oldest first
+        self.timer = None
+
+    def call(self, act: Count) -> None:
+        loop = self.limiter.loop
+        keep = max(1, min(60_000, -(-act.keep // 10)))
+        raw = b"POST /counters/%d?by=%.9g&expire_ms=%d HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
+        call = Call(act.name, loop.time())
+        self.queue.append((call, raw % (act.name, act.step, keep)))
+        self.open.append(call)
+        if self.timer is None:
+            self.timer = loop.call_at(call.at + self.timeout, self.late)
+        if self.line is None:
+            self.line = Line(self)
+            self.line.off = connect(loop, self.line.wire, self.address, self.connect_timeout)
+        elif self.line.up:
+            self.flush()
+
+    def flush(self) -> None:
+        line = self.line
+        while self.queue and line is self.line and line.wire.ending is None:
+            call, raw = self.queue[0]
+            if call.told:
+                self.queue.popleft()
+                continue
+            # what the system has not taken yet waits here, where it can still be withdrawn
+            if not line.wire.written or not line.wire.send(raw):
+                return
+            self.queue.popleft()
+            if not line.calls:
+                line.heard_at = self.limiter.loop.time()
+            call.written = True
+            line.calls.append(call)
+
+    def late(self) -> None:
+        """Gives up the calls that have waited long enough."""
+        self.timer = None
+        now = self.limiter.loop.time()
+        while self.open and (self.open[0].told or now - self.open[0].at >= self.timeout - 1e-4):
+            call = self.open.popleft()
+            if not call.told:
+                self.tell(call, call_outcome(Ending.EXPIRED, call.written))
+        line = self.line
+        if line is not None and line.up and line.calls and now - line.heard_at > self.connect_timeout:
+            # nothing comes on this connection any more; a new one shows whether the machine is there
+            line.wire.stop(Ending.STALLED)
+        if self.open and self.timer is None:
+            self.timer = self.limiter.loop.call_at(self.open[0].at + self.timeout, self.late)
+
+    def answered(self, call: Call, status: int, body: bytes) -> None:
+        if call.told:
+            return
+        if status == 200 and not TOTAL(body):
+            self.tell(call, Outcome.NO_ANSWER)
+        else:
+            self.tell(call, called(status), float(body) if status == 200 else 0.0)
+
+    def tell(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
+        call.told = True
+        took = up((self.limiter.loop.time() - call.at) * 1000)
+        self.limiter.counted(call.name, outcome, total, took)
+
+    def lost(self, line: Line, why: Ending) -> None:
+        if line is self.line:
+            self.line = None
+        left, line.calls = line.calls, deque()
+        waiting, self.queue = self.queue, deque()
+        for call in [*left, *(call for call, _ in waiting)]:
+            if not call.told:
+                self.tell(call, call_outcome(why, call.written))
--- /dev/null
+++ b/loomstand/net/discovery.py
@@ -0,0 +1,100 @@
+"""Discovery: a watch on the list of servers, resumed where it broke."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from loomstand.config import ConfigError, Members, address
+from loomstand.net import http
+from loomstand.net.driver import Wire, connect
+from loomstand.net.endings import Ending
+
+if TYPE_CHECKING:
+    from loomstand.net.limiter import Limiter
+
+BEAT = 2.0  # PROTOCOL: an empty line comes every 2 s while nothing changes
+SILENT = 2.5 * BEAT  # two beats missed; under the 6 s after which a change counts as told
+MOST_LINE = 1 << 20  # of a whole list, some thousands of servers
+AGAIN = (0.1, 2.0)  # the wait before a new watch, doubled from the first to the second
+decode = msgspec.json.Decoder(Members).decode
+
+
+class WatchReceiver(http.ResponseReceiver):
+    """An answer without an end, whose body is taken out line by line."""
+
+    __slots__ = ()
+
+    def lines(self) -> list[bytes]:
+        if not isinstance(self.body, bytearray):
+            return []
+        *whole, rest = self.body.split(b"\n")
+        self.body = bytearray(rest)
+        return whole
+
+
+class Watch:
+    """Keeps one watch open, and hands every list and change to the limiter."""
+
+    def __init__(
+        self, limiter: Limiter, where: tuple[str, int], revision: int, connect_timeout: float
+    ) -> None:
+        self.limiter, self.where, self.revision = limiter, where, revision
+        self.connect_timeout = connect_timeout
+        self.wire: Wire | None = None
+        self.machine = WatchReceiver(MOST_LINE)
+        self.heard_at, self.wait, self.stopped = 0.0, AGAIN[0], False
+        self.heard = False  # whether this watch has said anything
+        self.off: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        if not self.stopped:
+            self.machine, self.heard = WatchReceiver(MOST_LINE), False
+            self.wire = Wire(self, self.limiter.room, http.MOST_RING)
+            self.heard_at = self.limiter.loop.time()
+            self.off = connect(self.limiter.loop, self.wire, self.where, self.connect_timeout)
+
+    def opened(self) -> None:
+        self.heard_at = self.limiter.loop.time()
+        self.wire.send(
+            b"GET /api/targets?stream=1&index=%d HTTP/1.1\r\nHost: discovery\r\n\r\n" % self.revision
+        )
+
+    def received(self) -> None:
+        self.heard_at = self.limiter.loop.time()
+        try:
+            over = self.machine.step(self.wire.inbound)
+            if self.machine.begun and self.machine.status != 200:
+                raise http.Malformed(502, f"status {self.machine.status}")
+            for line in self.machine.lines():
+                if line.strip():
+                    self.heard, self.wait = True, AGAIN[0]
+                    self.told(decode(line))
+            if over:
+                self.wire.stop(Ending.CLOSED)
+        except (http.Malformed, msgspec.DecodeError, ConfigError) as why:
+            self.limiter.log(f"discovery: {why}")
+            self.wire.stop(Ending.MALFORMED)
+
+    def told(self, list_: Members) -> None:
+        for member in list_.members:
+            address(member.host_port, "host_port")
+        self.limiter.listed(list_)
+        self.revision = list_.revision
+
+    def ended(self, why: Ending) -> None:
+        self.off()
+        if not self.stopped:
+            self.limiter.loop.call_later(self.wait, self.start)
+            self.wait = min(AGAIN[1], self.wait * 2)
+
+    def sweep(self) -> None:
+        if self.wire.ending is None and self.limiter.loop.time() - self.heard_at > SILENT:
+            self.wire.stop(Ending.STALLED)
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.off()
+        self.wire.drop(Ending.STOPPING)
--- /dev/null
+++ b/loomstand/net/driver.py
@@ -0,0 +1,172 @@
+"""The thin driver under every connection: reads into one ring, writes from another, and says how it ended."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import selectors
+import socket
+import time
+from collections.abc import Callable
+
+from loomstand.net.endings import Ending
+from loomstand.net.ring import Ring, Room
+
+NO_ROOM = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+
+
+class Turns(selectors.DefaultSelector):
+    """The loop's selector, which also keeps what bounds the time at which the bytes now read had come."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.since = self.back = time.monotonic()
+        self.longest = 0.0  # the longest turn lately, halved each second
+
+    def select(self, timeout: float | None = None) -> list:
+        went, lasted = time.monotonic(), 0.0
+        ready = super().select(timeout)
+        now = time.monotonic()
+        lasted = went - self.back
+        if lasted > self.longest * 0.5 ** (now - self.back):
+            self.longest = lasted
+        elif self.longest:
+            self.longest *= 0.5 ** (now - self.back)
+        # where the wait was a real one nothing was there when it began
+        self.since = now if now - went > lasted else self.back
+        self.back = now
+        return ready
+
+
+class Wire(asyncio.BufferedProtocol):
+    """One connection. Its user gives `received` and `ended`, which is called once; neither after `drop`."""
+
+    __slots__ = (
+        "ending", "inbound", "lingering", "outbound", "paused", "reading", "since", "transport", "user",
+    )  # fmt: skip
+
+    def __init__(self, user: object, room: Room, most: int) -> None:
+        self.user = user
+        self.inbound, self.outbound = Ring(room, most), Ring(room, most)
+        self.transport: asyncio.Transport | None = None
+        self.ending: Ending | None = None
+        self.paused = self.lingering = False
+        self.reading = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(0)
+        if self.ending:
+            transport.abort()
+        else:
+            self.user.opened()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        if self.lingering:
+            self.inbound.skip(len(self.inbound))
+        space = self.inbound.space()
+        if space:
+            return space
+        self.stop(Ending.OVERSIZED if self.inbound.size >= self.inbound.most else Ending.NO_ROOM)
+        return memoryview(bytearray(1))
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.ending is None and not self.lingering:
+            self.inbound.wrote(nbytes)
+            self.user.received()
+
+    def eof_received(self) -> bool:
+        self.stop(Ending.FINISHED if self.lingering else Ending.CLOSED)
+        return False
+
+    def connection_lost(self, why: Exception | None) -> None:
+        self.stop(Ending.RESET)
+        self.inbound.close()
+        self.outbound.close()
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self.flush()
+
+    def send(self, data: bytes) -> bool:
+        """Queues all of `data`, or nothing where there is no room."""
+        if self.ending is not None or not self.outbound.put(data):
+            return False
+        if not self.paused:
+            self.flush()
+        return True
+
+    def flush(self) -> None:
+        while len(self.outbound) and not self.paused and self.ending is None:
+            self.transport.write(self.outbound.take(len(self.outbound)))
+
+    @property
+    def written(self) -> bool:
+        """Whether the system has taken the last byte."""
+        return not self.paused and not len(self.outbound)
+
+    def stop(self, why: Ending) -> None:
+        """Ends the connection at once."""
+        if self.ending is None:
+            self.ending = why
+            if self.transport is not None:
+                self.transport.abort()
+            self.user.ended(why)
+
+    def drop(self, why: Ending) -> None:
+        """The same, at its user's wish: the user is not told."""
+        if self.ending is None:
+            self.ending = why
+            if self.transport is not None:
+                self.transport.abort()
+
+    def finish(self) -> None:
+        """Ends the sending after what is queued, and passes over what still comes."""
+        if self.ending is None and not self.lingering:
+            self.lingering = True
+            try:
+                self.transport.write_eof()
+            except OSError:
+                self.stop(Ending.RESET)
+
+
+def connect(
+    loop: asyncio.AbstractEventLoop, wire: Wire, address: tuple[str, int], within: float
+) -> Callable[[], None]:
+    """Opens a connection for `wire`, whose user gets `opened`, or `ended` if it does not come up within that
+    many seconds. Returns what calls it off without a word."""
+
+    async def run() -> None:
+        sock = None
+        try:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, address)
+            made, sock = sock, None
+            await loop.create_connection(lambda: wire, sock=made)
+        except OSError as why:
+            wire.stop(Ending.NO_ROOM if why.errno in NO_ROOM else Ending.REFUSED)
+        finally:
+            timer.cancel()
+            if sock is not None:
+                sock.close()
+
+    task = loop.create_task(run())
+
+    def late() -> None:
+        if wire.transport is None:
+            task.cancel()
+            wire.stop(Ending.SILENT_CONNECT)
+
+    timer = loop.call_later(within, late)
+
+    def off() -> None:
+        timer.cancel()
+        if wire.transport is None:
+            task.cancel()
+
+    return off
--- /dev/null
+++ b/loomstand/net/http.py
@@ -0,0 +1,236 @@
+"""HTTP/1.1 state machines: they are fed from a ring and know no socket."""
+
+from __future__ import annotations
+
+import re
+
+from loomstand.net.ring import Ring
+
+MOST_BODY = 64 * 1024  # PROTOCOL: a body holds 64 KiB at most
+MOST_HEAD = 8 * 1024
+MOST_LINE = 256  # of a chunk's size
+MOST_RING = MOST_BODY + MOST_HEAD
+TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+").fullmatch
+TARGET = re.compile(rb"/[!-~]*").fullmatch
+VERSION = re.compile(rb"HTTP/1\.[01]").fullmatch
+NUMBER = re.compile(rb"[0-9]{1,9}").fullmatch
+CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?").fullmatch
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
+}
+
+
+class Malformed(Exception):
+    """Bytes that are no message of ours; `status` suits an answer."""
+
+    def __init__(self, status: int, what: str) -> None:
+        super().__init__(what)
+        self.status = status
+
+
+class Receiver:
+    """Takes one message after another from a ring. `step` goes as far as the bytes do."""
+
+    __slots__ = ("body", "close", "fields", "left", "most", "searched", "state", "whole_at_once")
+
+    def __init__(self, most: int = MOST_BODY) -> None:
+        self.most = most
+        self.reset()
+
+    def reset(self) -> None:
+        """Ready for the next message."""
+        self.state, self.searched = self.head, 0
+        self.fields: dict[bytes, bytes] = {}
+        self.body, self.left, self.close = b"", 0, False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of a message has come."""
+        return self.state != self.head
+
+    @property
+    def done(self) -> bool:
+        return self.state is None
+
+    def step(self, ring: Ring) -> bool:
+        """Whether a message is whole."""
+        while self.state is not None and self.state(ring):
+            pass
+        return self.state is None
+
+    def start_line(self, line: bytes) -> None:
+        raise NotImplementedError
+
+    def bodiless(self) -> bool:
+        """Whether this message never has a body."""
+        return False
+
+    def unframed(self) -> None:
+        """No length was given."""
+        self.state = None
+
+    def head(self, ring: Ring) -> bool:
+        end = ring.find(b"\r\n\r\n", self.searched)
+        if end < 0 or end > MOST_HEAD:
+            if len(ring) > MOST_HEAD:
+                raise Malformed(431, "head too long")
+            self.searched = max(0, len(ring) - 3)
+            return False
+        raw = ring.take(end + 4)[:end]
+        if raw.startswith(b"\r\n"):  # an empty line ahead of a message is allowed
+            raw = raw.lstrip(b"\r\n")
+        lines = raw.split(b"\r\n")
+        if raw.count(b"\n") != len(lines) - 1 or raw.count(b"\r") != len(lines) - 1 or b"\0" in raw:
+            raise Malformed(400, "stray control bytes in the head")
+        self.start_line(lines[0])
+        fields = self.fields
+        for line in lines[1:]:
+            name, colon, value = line.partition(b":")
+            if not colon or not TOKEN(name):
+                raise Malformed(400, "bad field line")
+            name, value = name.lower(), value.strip(b" \t")
+            if name in fields:
+                if name == b"content-length" and fields[name] != value:
+                    raise Malformed(400, "two lengths")
+                value = value if name == b"content-length" else fields[name] + b", " + value
+            fields[name] = value
+        self.frame()
+        return self.state is not None
+
+    def frame(self) -> None:
+        """How the body is framed."""
+        fields = self.fields
+        if b"connection" in fields:
+            says = [part.strip() for part in fields[b"connection"].lower().split(b",")]
+            self.close = b"close" in says or (self.close and b"keep-alive" not in says)
+        coding, length = fields.get(b"transfer-encoding"), fields.get(b"content-length")
+        if self.bodiless():
+            self.state = None
+        elif coding is not None:
+            if length is not None:
+                raise Malformed(400, "a length and a coding")
+            if coding.lower() != b"chunked":
+                raise Malformed(501, "unknown coding")
+            self.body, self.state = bytearray(), self.chunk_size
+        elif length is not None:
+            if not NUMBER(length):
+                raise Malformed(400, "bad length")
+            self.left = int(length)
+            if self.left > self.most:
+                raise Malformed(413, "body too long")
+            self.state = self.counted if self.left else None
+        else:
+            self.unframed()
+
+    def counted(self, ring: Ring) -> bool:
+        if len(ring) < self.left:
+            return False
+        self.body, self.state = ring.take(self.left), None
+        return False
+
+    def chunk_size(self, ring: Ring) -> bool:
+        line = self.line(ring)
+        if line is None:
+            return False
+        size = CHUNK(line)
+        if not size:
+            raise Malformed(400, "bad chunk size")
+        self.left = int(size[1], 16)
+        if len(self.body) + self.left > self.most:
+            raise Malformed(413, "body too long")
+        self.state = self.chunk if self.left else self.trailer
+        return True
+
+    def chunk(self, ring: Ring) -> bool:
+        piece = ring.take(self.left)
+        self.body += piece
+        self.left -= len(piece)
+        if self.left:
+            return False
+        self.state = self.chunk_end
+        return True
+
+    def chunk_end(self, ring: Ring) -> bool:
+        line = self.line(ring)
+        if line is None:
+            return False
+        if line:
+            raise Malformed(400, "chunk longer than its size")
+        self.state = self.chunk_size
+        return True
+
+    def trailer(self, ring: Ring) -> bool:
+        line = self.line(ring)
+        if line is None:
+            return False
+        self.left += len(line)
+        if self.left > MOST_HEAD:
+            raise Malformed(431, "trailer too long")
+        if not line:
+            self.body, self.state = bytes(self.body), None
+        return bool(line)
+
+    def line(self, ring: Ring) -> bytes | None:
+        end = ring.find(b"\r\n")
+        if end < 0 and len(ring) > MOST_LINE:
+            raise Malformed(400, "line too long")
+        return None if end < 0 else ring.take(end + 2)[:end]
+
+
+class RequestReceiver(Receiver):
+    """The server's side of a connection."""
+
+    __slots__ = ("method", "target")
+
+    def start_line(self, line: bytes) -> None:
+        words = line.split(b" ")
+        if len(words) != 3 or not TOKEN(words[0]) or not TARGET(words[1]):
+            raise Malformed(400, "bad request line")
+        self.method, self.target, version = words
+        if not VERSION(version):
+            raise Malformed(505 if version.startswith(b"HTTP/") else 400, "bad version")
+        self.close = version == b"HTTP/1.0"
+
+
+class ResponseReceiver(Receiver):
+    """The client's side of a connection."""
+
+    __slots__ = ("status",)
+
+    def start_line(self, line: bytes) -> None:
+        version, _, rest = line.partition(b" ")
+        status = rest[:3]
+        if not VERSION(version) or not NUMBER(status) or rest[3:4] not in (b"", b" "):
+            raise Malformed(502, "bad status line")
+        self.status, self.close = int(status), version == b"HTTP/1.0"
+
+    def bodiless(self) -> bool:
+        if 100 <= self.status < 200:  # an interim answer: the real one follows
+            self.fields, self.searched = {}, 0
+        return self.status < 200 or self.status in (204, 304)
+
+    def frame(self) -> None:
+        super().frame()
+        if self.status < 200:
+            self.state = self.head
+
+    def unframed(self) -> None:
+        # It would end with the connection: a cut one could not be told from a whole one.
+        raise Malformed(502, "an answer without a length")
+
+
+def answer(status: int, body: bytes = b"", extra: str = "", close: bool = False) -> bytes:
+    """An answer to a client."""
+    end = "Connection: close\r\n\r\n" if close else "\r\n"
+    head = f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\nContent-Length: {len(body)}\r\n{extra}{end}"
+    return head.encode() + body
--- /dev/null
+++ b/loomstand/net/limiter.py
@@ -0,0 +1,301 @@
+"""One limiter on sockets: turns what comes into notes, and the module's actions into bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from functools import lru_cache
+
+from loomstand import interface as i
+from loomstand.brain import Brain
+from loomstand.config import Config, Members, address, settings
+from loomstand.door import Door, digest, up
+from loomstand.interface import Outcome
+from loomstand.net import http
+from loomstand.net.clients import ACCOUNT, DECIMAL, MILLIS, Client, Front
+from loomstand.net.counter import Counter
+from loomstand.net.discovery import Watch
+from loomstand.net.endings import Ending
+from loomstand.net.log import Log
+from loomstand.net.ring import Room
+from loomstand.net.servers import Flight, Pool
+
+PASSED_ON = (b"host", b"request-class", b"x-tier", b"x-call-terms", b"client-retry", b"content-type")
+PHASES = {"active": i.Phase.LIVE, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
+LINGER = 0.7  # PROTOCOL: a req that comes later than this after SIGTERM may find nobody
+FIXED_SOCKETS = 24  # standard streams, the loop's own, the listener, the counter's, discovery's and the files
+
+
+class Req:
+    """A req that is owed its answer, or whose dispatches are still out."""
+
+    __slots__ = ("body", "client", "flights", "give_up", "head", "id")
+
+    def __init__(self, id_: int, client: Client, head: bytes, body: bytes, give_up: int) -> None:
+        self.id, self.client, self.head, self.body, self.give_up = id_, client, head, body, give_up
+        self.flights: list[Flight] = []
+
+
+class Ask:
+    """What a client's req says, checked."""
+
+    __slots__ = (
+        "body",
+        "customer",
+        "digest",
+        "frontend",
+        "head",
+        "plan",
+        "retry",
+        "set_size",
+        "timeout",
+        "units",
+    )
+
+
+class Limiter:
+    """Everything of one limiter. `run` serves until it is told to stop."""
+
+    def __init__(self, config: Config, since: Callable[[], tuple[float, float]] | None = None) -> None:
+        conf, limits = config.conf, config.limits
+        self.config, self.log = config, Log(config.name)
+        self.loop = asyncio.get_running_loop()
+        self.since = since or (lambda: (self.loop.time(), 0.0))
+        # one clock at all limiters, that never goes back here
+        self.epoch = time.time_ns() - time.monotonic_ns()
+        self.frontends = Door([g.name for g in conf.grades])
+        self.plans = Door([p.name for p in conf.plans])
+        self.halls, self.kinds, self.servers = Door(conf.zones), Door(conf.kinds), Door()
+        self.settings = settings(conf, self.halls.at(conf.az))
+        self.brain = Brain(self.settings, config.seed, self.now())
+        self.digest = lru_cache(1 << 14)(digest)
+        # half of the memory for buffers, the rest for program and module; half of the sockets each way
+        self.room = Room(int(limits.memory_mb * (1 << 20) / 2))
+        most = max(1, (limits.sockets - FIXED_SOCKETS) // 2)
+        within, idle = conf.allowed.connect_timeout / 1000, conf.allowed.idle_close / 1000
+        self.front, self.pool = Front(self, most), Pool(self, most, within, idle)
+        self.counter: Counter | None = None
+        if config.counter and conf.specifics.has_counter:
+            self.counter = Counter(self, config.counter, conf.specifics.count_limit / 1000, within)
+        self.watch = Watch(self, config.discovery, config.known.revision, within)
+        self.reqs: dict[int, Req] = {}
+        self.last, self.able = 0, False
+        self.patience = max(g.deadline for g in conf.grades) / 1000
+        self.stopped = asyncio.Event()
+        self.kinds_of_action = {
+            i.Dispatch: self.dispatch, i.Deny: self.deny, i.Abort: self.abort, i.CallOff: self.call_off,
+            i.Wake: self.wake, i.Count: self.count, i.Log: self.tell,
+        }  # fmt: skip
+
+    def now(self) -> int:
+        """The common clock, in tenths of a millisecond."""
+        return (time.monotonic_ns() + self.epoch) // 100_000
+
+    def arrived_at(self) -> float:
+        """The earliest at which the bytes now read can have come, on the loop's clock."""
+        return self.since()[0]
+
+    # life
+
+    async def run(self) -> None:
+        if self.config.known.members:
+            self.listed(self.config.known)
+        self.watch.start()
+        await self.front.listen(self.config.listen)
+        self.loop.call_later(1.0, self.sweep)
+        self.log(f"listens at {self.config.listen[0]}:{self.config.listen[1]}")
+        await self.stopped.wait()
+
+    def sweep(self) -> None:
+        """Once a second: what has stood too long."""
+        self.front.sweep(self.patience)
+        self.pool.sweep()
+        self.watch.sweep()
+        if not self.stopped.is_set():
+            self.loop.call_later(1.0, self.sweep)
+
+    def stop(self) -> None:
+        """Serves on, closes what is idle, and ends when nothing is left and nothing more can come."""
+        if self.front.stopping:
+            return
+        self.log("told to stop")
+        self.able = False
+        self.front.stop()
+        self.loop.call_later(LINGER, self.leave)
+
+    def leave(self) -> None:
+        self.front.close()
+        self.front.stop()
+        self.empty()
+
+    def empty(self) -> None:
+        if self.front.clients:
+            self.loop.call_later(0.02, self.empty)
+            return
+        self.watch.stop()
+        self.log("stopped")
+        self.stopped.set()
+
+    # from discovery
+
+    def listed(self, list_: Members) -> None:
+        if list_.complete:
+            named = {m.id for m in list_.members}
+            for name, srv in self.servers.index.items():
+                if name not in named:
+                    self.pool.told(srv, None)
+        entries = []
+        for m in list_.members:
+            srv, phase = self.servers.at(m.id), PHASES[m.phase]
+            self.pool.told(srv, None if phase is i.Phase.GONE else address(m.host_port, "host_port"))
+            hall, kind = self.halls.at(m.locality), self.kinds.at(m.flavor)
+            entries.append(i.Entry(srv, phase, hall, kind, m.cell, m.size, up(m.up_since_ms)))
+        self.note(i.Listed(tuple(entries), list_.complete))
+        self.able = not self.front.stopping
+
+    # from clients
+
+    def read(self, machine: http.RequestReceiver) -> Ask:
+        """Checks a req. What is missing or odd is a 400."""
+        fields, ask = machine.fields, Ask()
+        name, wait = fields.get(b"request-id"), fields.get(b"request-timeout-ms", b"")
+        account = ACCOUNT(machine.target)
+        if not name or not MILLIS(wait) or not account:
+            raise http.Malformed(400, "a req needs Request-Id, Request-Timeout-Ms and an account")
+        frontend = fields.get(b"request-class") or machine.target[1:].partition(b"?")[0].partition(b"/")[0]
+        ask.frontend = self.frontends.index.get(frontend.decode("latin-1"), -1)
+        if ask.frontend < 0:
+            raise http.Malformed(404, "no such frontend")
+        tier = fields.get(b"x-tier", b"")
+        ask.plan = self.plans.index.get(tier.decode("latin-1"), -1)
+        if tier and ask.plan < 0:
+            raise http.Malformed(400, "no such plan")
+        terms = {}
+        for part in fields.get(b"x-call-terms", b"").split(b","):
+            key, _, value = part.strip().partition(b"=")
+            terms[key] = value
+        units, spread = terms.get(b"units", b"1"), terms.get(b"spread", b"0")
+        if not DECIMAL(units) or not MILLIS(spread):
+            raise http.Malformed(400, "bad X-Call-Terms")
+        ask.units, ask.set_size = float(units), int(spread)
+        if ask.units > self.settings.max_units or ask.set_size > self.settings.limiters:
+            raise http.Malformed(400, "X-Call-Terms past the settings")
+        text = account[1].decode().lower()
+        ask.customer, ask.digest = int(text, 16), self.digest(text)
+        ask.timeout, ask.retry = int(wait), fields.get(b"client-retry") == b"1"
+        ask.body = machine.body
+        head = [b"%b %b HTTP/1.1\r\nRequest-Id: %b\r\n" % (machine.method, machine.target, name)]
+        for field in PASSED_ON:
+            if field in fields:
+                head.append(b"%b: %b\r\n" % (field, fields[field]))
+        if ask.body or machine.method != b"GET":
+            head.append(b"content-length: %d\r\n" % len(ask.body))
+        ask.head = b"".join(head)
+        return ask
+
+    def take(self, client: Client, ask: Ask, at: float) -> None:
+        """A req has come: it is owed one answer from here on."""
+        if not self.room.take(len(ask.body)):
+            client.answer(503)
+            return
+        # the wait counts from the sending; this limiter's own late turns must not make the answer late
+        timeout = min(10 * ask.timeout, self.settings.frontends[ask.frontend].client_timeout)
+        lost = self.loop.time() - at + min(self.since()[1], timeout / 20_000)
+        now = self.now()
+        give_up = now + timeout - up(max(0.0, lost) * 1000)
+        self.last += 1
+        req = client.req = Req(self.last, client, ask.head, ask.body, give_up)
+        self.reqs[req.id] = req
+        who, turn = (ask.plan, ask.customer, ask.digest), (ask.units, ask.set_size, ask.retry)
+        self.note(i.Arrived(req.id, ask.frontend, *who, give_up, *turn))
+
+    def vanished(self, req: Req) -> None:
+        req.client = None
+        self.note(i.Vanished(req.id))
+        self.forget(req)
+
+    # from servers and the counter
+
+    def came(self, flight: Flight, outcome: Outcome, metered: int = 0, body: bytes = b"") -> None:
+        """A dispatch has ended."""
+        req = flight.req
+        if flight.timer is not None:
+            flight.timer.cancel()
+        flight.link = None
+        req.flights[flight.number] = None
+        passed = outcome is Outcome.PASSED
+        if passed and req.client is not None:
+            self.answer(req, 200, body)
+        took = max(0, self.now() - flight.sent_at)
+        final = req.client is None
+        self.note(i.Ended(req.id, flight.number, flight.srv, outcome, took, final, metered, 0.0))
+        self.forget(req)
+
+    def counted(self, name: int, outcome: Outcome, total: float, took: int) -> None:
+        self.note(i.Counted(name, outcome, total, took))
+
+    # the module
+
+    def note(self, note: i.Note) -> None:
+        try:
+            actions = self.brain.handle(self.now(), note)
+        except Exception as why:  # the limiter goes on: only what the note was about is lost
+            self.log(f"the module failed on {type(note).__name__}: {type(why).__name__}: {why}")
+            req = self.reqs.get(getattr(note, "req", -1))
+            actions = [i.Abort(req.id)] if req and not any(req.flights) else []
+        for act in actions:
+            self.kinds_of_action[type(act)](act)
+
+    def dispatch(self, act: i.Dispatch) -> None:
+        req, now = self.reqs.get(act.req), self.now()
+        if req is None:
+            return
+        expire = min(act.expire, req.give_up)
+        flight = Flight(req, len(req.flights), act.srv, now, expire)
+        req.flights.append(flight)
+        if req.client is None or expire <= now or len(req.flights) > self.settings.try_limit:
+            self.loop.call_soon(self.came, flight, Outcome.NOT_SENT)
+            return
+        flight.timer = self.loop.call_later(
+            (expire - now) / 10_000, self.pool.give_up, flight, Ending.EXPIRED
+        )
+        self.pool.send(flight)
+
+    def call_off(self, act: i.CallOff) -> None:
+        req = self.reqs.get(act.req)
+        if req is not None and act.dispatch < len(req.flights) and req.flights[act.dispatch] is not None:
+            self.pool.give_up(req.flights[act.dispatch], Ending.CALLED_OFF)
+
+    def deny(self, act: i.Deny) -> None:
+        req = self.reqs.get(act.req)
+        if req is not None and req.client is not None:
+            self.answer(req, 429, extra=f"Retry-After: {act.wait / 10_000:.3f}\r\n" if act.wait else "")
+            self.forget(req)
+
+    def abort(self, act: i.Abort) -> None:
+        req = self.reqs.get(act.req)
+        if req is not None and req.client is not None:
+            self.answer(req, 502)
+            self.forget(req)
+
+    def answer(self, req: Req, status: int, body: bytes = b"", extra: str = "") -> None:
+        client, req.client = req.client, None
+        client.answer(status, body, extra)
+        self.loop.call_soon(client.next)
+
+    def forget(self, req: Req) -> None:
+        if req.client is None and not any(req.flights) and self.reqs.pop(req.id, None):
+            self.room.give(len(req.body))
+
+    def wake(self, act: i.Wake) -> None:
+        self.loop.call_later(act.after / 10_000, self.note, i.Woke(act.tag))
+
+    def count(self, act: i.Count) -> None:
+        if self.counter is None:
+            self.loop.call_soon(self.counted, act.name, Outcome.NO_CONNECTION, 0.0, 0)
+        else:
+            self.counter.call(act)
+
+    def tell(self, act: i.Log) -> None:
+        self.log(act.text)
--- /dev/null
+++ b/loomstand/net/log.py
@@ -0,0 +1,28 @@
+"""Log lines for the operators, by plain print to standard error, rate-limited."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+BURST = 50  # lines at once
+PER_S = 10  # and a second from then on
+
+
+class Log:
+    """Passes so many lines, and counts those that it keeps back."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.left, self.at, self.kept = float(BURST), time.monotonic(), 0
+
+    def __call__(self, text: str) -> None:
+        now = time.monotonic()
+        self.left, self.at = min(BURST, self.left + PER_S * (now - self.at)), now
+        if self.left < 1:
+            self.kept += 1
+            return
+        self.left -= 1
+        more = f" ({self.kept} lines kept back)" if self.kept else ""
+        self.kept = 0
+        print(f"{self.name}: {text}{more}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/loomstand/net/servers.py
@@ -0,0 +1,168 @@
+"""Servers: their connections, kept for the next dispatch, and what comes back on them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from loomstand.interface import Outcome
+from loomstand.net import http
+from loomstand.net.driver import Wire, connect
+from loomstand.net.endings import Ending, answered, outcome
+
+if TYPE_CHECKING:
+    from loomstand.net.limiter import Limiter, Req
+
+
+class Flight:
+    """A dispatch on its way."""
+
+    __slots__ = ("expire", "link", "number", "req", "sent_at", "srv", "timer")
+
+    def __init__(self, req: Req, number: int, srv: int, sent_at: int, expire: int) -> None:
+        self.req, self.number, self.srv, self.sent_at, self.expire = req, number, srv, sent_at, expire
+        self.link: Link | None = None
+        self.timer = None
+
+
+class Link:
+    """A connection to a server: one dispatch at a time."""
+
+    __slots__ = ("address", "flight", "idle_at", "machine", "off", "pool", "up", "wire")
+
+    def __init__(self, pool: Pool, address: tuple[str, int]) -> None:
+        self.pool, self.address, self.up = pool, address, False
+        self.machine = http.ResponseReceiver()
+        self.wire = Wire(self, pool.limiter.room, http.MOST_RING)
+        self.flight: Flight | None = None
+        self.idle_at = 0.0
+        self.off: Callable[[], None] = lambda: None
+
+    def opened(self) -> None:
+        self.up = True
+        self.write()
+
+    def write(self) -> None:
+        limiter, flight = self.pool.limiter, self.flight
+        wait = max(1, (flight.expire - limiter.now()) // 10)
+        if not self.wire.send(
+            b"%bRequest-Timeout-Ms: %d\r\n\r\n%b" % (flight.req.head, wait, flight.req.body)
+        ):
+            self.wire.stop(Ending.NO_ROOM)
+
+    def received(self) -> None:
+        flight, machine = self.flight, self.machine
+        if flight is None:  # bytes that nobody asked for
+            self.wire.stop(Ending.MALFORMED)
+            return
+        try:
+            if not machine.step(self.wire.inbound):
+                return
+        except http.Malformed as why:
+            self.wire.stop(Ending.OVERSIZED if why.status in (413, 431) else Ending.MALFORMED)
+            return
+        if not self.wire.written:  # answered before the req was whole: the rest must not follow
+            self.wire.stop(Ending.MALFORMED)
+            return
+        status, fields, body, close = machine.status, machine.fields, machine.body, machine.close
+        self.flight = None
+        machine.reset()
+        if close or len(self.wire.inbound):
+            self.pool.shut(self, Ending.FINISHED)
+        else:
+            self.pool.keep(self)
+        used = fields.get(b"x-ratelimit-used", b"")
+        metered = int(used) + 1 if http.NUMBER(used) else 0
+        self.pool.limiter.came(flight, answered(status, fields.get(b"not-started") == b"1"), metered, body)
+
+    def ended(self, why: Ending) -> None:
+        self.off()
+        self.pool.lost(self)
+        if self.flight is not None:
+            flight, self.flight = self.flight, None
+            self.pool.limiter.came(flight, outcome(why, self.up and self.wire.written))
+
+
+class Pool:
+    """Connections to all servers, `most` of them."""
+
+    def __init__(self, limiter: Limiter, most: int, connect_timeout: float, idle_close: float) -> None:
+        self.limiter, self.most = limiter, most
+        self.connect_timeout = connect_timeout
+        # A connection is not used again so near its idle close that a req could cross it; a server that
+        # can't be reached within the time for a connect is taken for gone, so no req travels longer.
+        self.idle_most = max(0.0, idle_close - connect_timeout)
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.idle: dict[tuple[str, int], list[Link]] = {}  # the last used last
+        self.links: dict[Link, None] = {}
+
+    def told(self, srv: int, address: tuple[str, int] | None) -> None:
+        """Where a server listens; None when it is gone."""
+        old = self.addresses.get(srv)
+        if address is None:
+            self.addresses.pop(srv, None)
+        else:
+            self.addresses[srv] = address
+        if old is not None and old != address:
+            for link in self.idle.pop(old, []):
+                self.shut(link, Ending.IDLE)
+
+    def send(self, flight: Flight) -> None:
+        address = self.addresses.get(flight.srv)
+        if address is None:
+            self.limiter.came(flight, Outcome.NOT_SENT)
+            return
+        now, idle = self.limiter.loop.time(), self.idle.get(address)
+        while idle:
+            link = idle.pop()
+            if now - link.idle_at < self.idle_most:
+                self.board(link, flight)
+                link.write()
+                return
+            self.shut(link, Ending.IDLE)
+        if len(self.links) >= self.most and not self.spare():
+            self.limiter.came(flight, outcome(Ending.NO_ROOM, False))
+            return
+        link = Link(self, address)
+        self.links[link] = None
+        self.board(link, flight)
+        link.off = connect(self.limiter.loop, link.wire, address, self.connect_timeout)
+
+    def board(self, link: Link, flight: Flight) -> None:
+        link.flight, flight.link = flight, link
+
+    def spare(self) -> bool:
+        """Closes the connection that has been idle longest."""
+        old = min((links[0] for links in self.idle.values() if links), key=lambda v: v.idle_at, default=None)
+        if old is not None:
+            self.shut(old, Ending.IDLE)
+        return old is not None
+
+    def give_up(self, flight: Flight, why: Ending) -> None:
+        """Stops waiting: its connection is closed."""
+        link = flight.link
+        if link is not None and link.flight is flight:
+            link.wire.stop(why)
+
+    def keep(self, link: Link) -> None:
+        link.idle_at = self.limiter.loop.time()
+        self.idle.setdefault(link.address, []).append(link)
+
+    def shut(self, link: Link, why: Ending) -> None:
+        link.wire.drop(why)
+        self.lost(link)
+
+    def lost(self, link: Link) -> None:
+        self.links.pop(link, None)
+        idle = self.idle.get(link.address)
+        if idle and link in idle:
+            idle.remove(link)
+        if not idle:
+            self.idle.pop(link.address, None)
+
+    def sweep(self) -> None:
+        """Closes what has been idle too long to be used again."""
+        now = self.limiter.loop.time()
+        for links in list(self.idle.values()):
+            for link in [v for v in links if now - v.idle_at >= self.idle_most]:
+                self.shut(link, Ending.IDLE)
