--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,12 +1,21 @@
-"""A small stage for the module: limiters, a shared tally of what they sent, checks of the five rules."""
+"""A small stage for the module, with checks of the five rules; and stand-ins for the limiter on sockets."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import json
+import re
+import socket
+from collections.abc import Callable
 from dataclasses import replace
 
 from loomstand import interface as api
 from loomstand.brain import Brain
+from loomstand.config import parse
 from loomstand.interface import Effect, Group, Outcome, Phase
+from loomstand.net.endings import Ending
+from loomstand.net.limiter import Limiter
 
 S = api.TENTHS_PER_S
 NOT_RUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -201,3 +210,180 @@
         if how in (Outcome.PASSED, Outcome.NO_ANSWER):
             self.counts[call.name] = self.counts.get(call.name, 0.0) + call.step
         self.give(n, api.Counted(call.name, how, self.counts.get(call.name, 0.0), 30))
+
+
+# Stand-ins on loopback, for the limiter on sockets.
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+def member(id_: str, port: int, phase: str = "active") -> dict[str, object]:
+    return {"id": id_, "host_port": f"127.0.0.1:{port}", "locality": "east", "phase": phase, "up_since_ms": 0}
+
+
+def config_file(ports: dict[str, int], members: list[dict], **changes: object) -> dict:
+    grades = [
+        {"name": "look", "effect": "pure", "on_time": 500, "deadline": 1500, "points": 1},
+        {"name": "book", "effect": "side_effect", "on_time": 500, "deadline": 1500, "points": 1},
+    ]
+    allowed = {"try_limit": 3, "idle_close": 2000, "connect_timeout": 250, "cancel": True}
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{ports['listen']}",
+        "discovery": f"127.0.0.1:{ports['discovery']}",
+        "counter": f"127.0.0.1:{ports['counter']}",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"revision": 4, "complete": True, "members": members},
+        "settings": {
+            "balancers": 1,
+            "me": 0,
+            "az": "east",
+            "zones": ["east"],
+            "grades": grades,
+            "plans": [{"name": "basic", "refill": 100.0, "store_size": 100.0}],
+            "allowed": allowed,
+            "specifics": {"has_counter": True, "count_limit": 100, "max_units": 4},
+            "rules": {"answer_slack": 8, "drain_grace": 500},
+        },
+    } | changes  # fmt: skip
+
+
+class Peer:
+    """A stand-in that takes HTTP messages; `play(n, head, body)` answers the nth, or closes by None."""
+
+    def __init__(self, play: Callable) -> None:
+        self.play, self.heads, self.bodies, self.connections = play, [], [], 0
+        self.open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self.talk, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)
+                body = await reader.readexactly(int(length[1])) if length else b""
+                n = len(self.heads)
+                self.heads.append(head)
+                self.bodies.append(body)
+                said = self.play(n, head, body)
+                said = await said if asyncio.iscoroutine(said) else said
+                if said is None:
+                    break
+                writer.write(said)
+                await writer.drain()
+        self.open.discard(writer)
+        writer.close()
+
+    def cut(self) -> None:
+        """Breaks all connections."""
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        self.server.close()
+        self.cut()
+
+
+def said(status: int, body: bytes = b"", extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), extra, body)
+
+
+WATCHING = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(list_: object) -> bytes:
+    line = json.dumps(list_).encode() + b"\n"
+    return b"%x\r\n%b\r\n" % (len(line), line)
+
+
+def request(
+    front: str = "look", id_: str = "r1", timeout: int = 1000, body: bytes = b"", extra: str = ""
+) -> bytes:
+    method = "POST" if body or front == "book" else "GET"
+    return (
+        f"{method} /{front}?account=00000000b4d65521 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {id_}\r\n"
+        f"Request-Class: {front}\r\nX-Tier: basic\r\nRequest-Timeout-Ms: {timeout}\r\n"
+        f"X-Call-Terms: units=1,spread=1,first=0\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class Caller:
+    """A client with one connection."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+
+    async def __aenter__(self) -> Caller:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    async def __aexit__(self, *why: object) -> None:
+        self.writer.close()
+
+    async def ask(self, raw: bytes) -> tuple[int, bytes, bytes]:
+        self.writer.write(raw)
+        return await self.answer()
+
+    async def answer(self) -> tuple[int, bytes, bytes]:
+        """Status, head and body of the next answer."""
+        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 4)
+        length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+        return int(head[9:12]), head, await self.reader.readexactly(length)
+
+    async def closed(self) -> bool:
+        """Whether the limiter ends the connection cleanly now."""
+        return await asyncio.wait_for(self.reader.read(1), 4) == b""
+
+
+class Site:
+    """A limiter among stand-ins; `servers` says how each of them answers."""
+
+    def __init__(self, *servers: Callable, counter: Callable | None = None, **changes: object) -> None:
+        self.servers = [Peer(play) for play in servers]
+        self.counter = Peer(counter or (lambda n, head, body: said(200, b"1")))
+        self.discovery = Peer(lambda n, head, body: WATCHING)
+        self.changes = changes
+
+    async def __aenter__(self) -> Site:
+        ports = {"listen": free_port(), "counter": await self.counter.start()}
+        ports["discovery"] = await self.discovery.start()
+        self.members = [member(f"s{n}", await peer.start()) for n, peer in enumerate(self.servers)]
+        raw = json.dumps(config_file(ports, self.members, **self.changes)).encode()
+        self.limiter, self.port = Limiter(parse(raw, {})), ports["listen"]
+        self.task = asyncio.create_task(self.limiter.run())
+        while not self.limiter.front.server:
+            await asyncio.sleep(0.005)
+        return self
+
+    async def __aexit__(self, *why: object) -> None:
+        self.limiter.front.close()
+        self.limiter.watch.stop()
+        for client in list(self.limiter.front.clients):
+            client.wire.drop(Ending.STOPPING)
+        for peer in (*self.servers, self.counter, self.discovery):
+            peer.stop()
+        self.limiter.stopped.set()
+        await self.task
+
+    def tell(self, **list_: object) -> None:
+        """A line of the watch."""
+        for writer in self.discovery.open:
+            writer.write(chunk(list_))
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Waits for something to come true, for a bounded time."""
+    for _ in range(600):
+        if true():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("it did not come true")
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,350 @@
+"""The limiter on sockets, among stand-ins on loopback: one test for each place where sockets bite."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import time
+
+import pytest
+from helpers import Caller, Site, chunk, request, said, until
+
+from loomstand.interface import Count, Outcome
+from loomstand.net.driver import Turns, Wire, connect
+from loomstand.net.endings import Ending
+from loomstand.net.ring import FIRST
+
+
+def sockets(test):
+    """Runs an async test under a bound of its own."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(Turns())) as runner:
+            runner.run(asyncio.wait_for(test(*args, **kwargs), 15))
+
+    return run
+
+
+def passes(n, head, body):
+    return said(200, b"yes")
+
+
+def silent(n, head, body):
+    return asyncio.sleep(5, b"")
+
+
+def outcomes(site):
+    """The outcomes of dispatches as they come to be known."""
+    seen, note = [], site.limiter.note
+
+    def spy(said):
+        if hasattr(said, "dispatch"):
+            seen.append(said.outcome)
+        note(said)
+
+    site.limiter.note = spy
+    return seen
+
+
+@sockets
+async def test_a_req_passes_unchanged_and_its_connections_are_kept():
+    body = bytes(range(256)) * 100
+    async with Site(lambda n, head, got: said(200, got)) as site, Caller(site.port) as caller:
+        assert (await caller.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+        for n in range(3):
+            assert (await caller.ask(request("book", f"r{n}", body=body)))[::2] == (200, body)
+        peer = site.servers[0]
+        assert peer.connections == 1 and peer.bodies == [body] * 3
+        first, *fields = peer.heads[1].lower().split(b"\r\n")
+        assert first == b"post /book?account=00000000b4d65521 http/1.1" and b"request-id: r1" in fields
+        wait = next(int(f.split()[1]) for f in fields if f.startswith(b"request-timeout-ms"))
+        assert 900 < wait <= 1000
+        assert not site.limiter.reqs and site.limiter.room.left > 90 << 20
+
+
+@sockets
+async def test_a_limiter_that_knows_no_server_is_not_ready():
+    async with Site() as site, Caller(site.port) as caller:
+        site.limiter.able = False
+        assert (await caller.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 503
+        assert (await caller.ask(request()))[0] == 429
+
+
+@sockets
+async def test_turned_away_and_refused_are_proven_so_even_non_replayable_goes_elsewhere():
+    turned = functools.partial(said, 503, b"", b"Not-Started: 1\r\n")
+    async with Site(lambda n, head, body: turned(), passes, passes) as site, Caller(site.port) as caller:
+        site.servers[1].stop()  # refuses connections
+        got = [(await caller.ask(request("book", f"r{n}")))[0] for n in range(6)]
+        assert set(got) <= {200, 429} and 200 in got
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome", b"nonsense\r\n\r\n"],
+)
+@sockets
+async def test_a_cut_answer_may_have_run_and_is_never_passed_as_whole(cut):
+    async def play(n, head, body):
+        for writer in list(site.servers[0].open):
+            writer.write(cut)
+            await writer.drain()
+
+    async with Site(play) as site, Caller(site.port) as caller:
+        seen = outcomes(site)
+        assert (await caller.ask(request("book")))[0] == 502
+        assert seen == [Outcome.CONNECTION_LOST] and len(site.servers[0].heads) == 1
+
+
+@sockets
+async def test_a_server_that_says_nothing_is_given_up_in_time_by_closing():
+    async with Site(silent) as site, Caller(site.port) as caller:
+        began = time.monotonic()
+        assert (await caller.ask(request("book", timeout=300)))[0] == 502
+        assert time.monotonic() - began < 0.35
+        assert not site.limiter.pool.links and not site.limiter.reqs
+
+
+@sockets
+async def test_a_connect_that_never_comes_up_is_no_connection():
+    loop, ended = asyncio.get_running_loop(), []
+
+    class User:
+        def ended(self, why):
+            ended.append(why)
+
+    async with Site(passes) as site:
+        # a listener whose line is full answers no further connect
+        full = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0, backlog=1, start_serving=False)
+        port = full.sockets[0].getsockname()[1]
+        full.sockets[0]._sock.listen(0)
+        hold = [await asyncio.open_connection("127.0.0.1", port)]
+        wire = Wire(User(), site.limiter.room, 1 << 16)
+        connect(loop, wire, ("127.0.0.1", port), 0.1)
+        await until(lambda: ended)
+        assert ended == [Ending.SILENT_CONNECT]
+        hold[0][1].close()
+        full.close()
+
+
+@sockets
+async def test_no_connection_is_used_again_near_its_idle_close():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        await caller.ask(request(id_="a"))
+        site.limiter.pool.idle_most = 0.05
+        await asyncio.sleep(0.06)
+        assert (await caller.ask(request(id_="b")))[0] == 200
+        assert site.servers[0].connections == 2
+
+
+@sockets
+async def test_out_of_sockets_is_an_outcome_not_held_against_the_server():
+    async with Site(silent) as site, Caller(site.port) as one, Caller(site.port) as two:
+        seen = outcomes(site)
+        site.limiter.pool.most = 1
+        first = asyncio.create_task(one.ask(request(timeout=400)))
+        await until(lambda: site.limiter.pool.links)
+        assert (await two.ask(request(id_="r2")))[0] == 429
+        assert set(seen) == {Outcome.NOT_SENT}
+        await first
+
+
+@sockets
+async def test_a_descriptor_that_cannot_be_had_ends_as_no_room():
+    def none(*args):
+        raise OSError(24, "too many open files")
+
+    async with Site(passes) as site, Caller(site.port) as caller:
+        seen, real = outcomes(site), connect.__globals__["socket"].socket
+        connect.__globals__["socket"].socket = none
+        try:
+            assert (await caller.ask(request()))[0] == 429
+        finally:
+            connect.__globals__["socket"].socket = real
+        assert set(seen) == {Outcome.NOT_SENT}
+
+
+@pytest.mark.parametrize(
+    ("raw", "status", "closes"),
+    [
+        (b"nonsense\r\n\r\n", 400, True),
+        (b"GET /look HTTP/1.1\r\na: %b\r\n\r\n" % (b"x" * 9000), 431, True),
+        (b"POST /look HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, 413, True),
+        (b"GET /nothing HTTP/1.1\r\n\r\n", 400, False),
+        (request().replace(b"units=1", b"units=nan"), 400, False),
+        (request().replace(b"units=1", b"units=99"), 400, False),
+        (request().replace(b"basic", b"golden"), 400, False),
+        (request("odd"), 404, False),
+        (request().replace(b"account=0", b"account=x"), 400, False),
+    ],
+)
+@sockets
+async def test_bad_input_gets_a_4xx_and_leaves_nothing_behind(raw, status, closes):
+    async with Site(passes) as site, Caller(site.port) as caller:
+        assert (await caller.ask(raw))[0] == status
+        if closes:
+            assert await caller.closed()
+            caller.writer.close()
+            await until(lambda: not site.limiter.front.clients)
+            assert site.limiter.room.left >= (96 << 20) - FIRST  # discovery's ring
+        else:
+            assert (await caller.ask(request()))[0] == 200
+
+
+@sockets
+async def test_a_client_that_goes_is_a_vanished_and_gets_nothing():
+    async with Site(lambda n, head, body: asyncio.sleep(0.1, said(200))) as site:
+        async with Caller(site.port) as caller:
+            caller.writer.write(request())
+            await until(lambda: site.servers[0].heads)
+        await until(lambda: not site.limiter.front.clients)
+        assert all(req.client is None for req in site.limiter.reqs.values())
+        await until(lambda: not site.limiter.reqs)
+        assert len(site.limiter.pool.links) == 1  # the answer came, and its connection is kept
+
+
+@sockets
+async def test_reqs_sent_ahead_are_answered_in_turn():
+    play = lambda n, head, body: asyncio.sleep(0.02, said(200, b"%d" % n))  # noqa: E731
+    async with Site(play) as site, Caller(site.port) as caller:
+        caller.writer.write(b"".join(request(id_=f"r{n}") for n in range(4)))
+        assert [(await caller.answer())[2] for n in range(4)] == [b"0", b"1", b"2", b"3"]
+
+
+@sockets
+async def test_a_late_turn_counts_against_the_wait():
+    async with Site(silent) as site, Caller(site.port) as caller:
+        caller.writer.write(request("book", timeout=400))
+        await asyncio.sleep(0)  # the bytes are sent in this turn
+        sent = time.monotonic()
+        time.sleep(0.2)  # and this limiter is late
+        assert (await caller.answer())[0] in (429, 502)
+        assert time.monotonic() - sent < 0.45
+
+
+@sockets
+async def test_clients_beyond_the_bound_make_room_or_are_turned_away():
+    async with Site(silent) as site:
+        site.limiter.front.most = 2
+        async with Caller(site.port) as idle, Caller(site.port) as busy, Caller(site.port) as third:
+            busy.writer.write(request())
+            assert await idle.closed()
+            third.writer.write(request(id_="r2"))
+            async with Caller(site.port) as fourth:
+                assert (await fourth.answer())[0] == 503
+            assert len(site.limiter.front.clients) <= 3
+
+
+@sockets
+async def test_a_client_that_stops_within_a_req_is_not_kept():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        caller.writer.write(request()[:40])
+        await until(lambda: any(not c.idle for c in site.limiter.front.clients))
+        site.limiter.front.sweep(0.0)
+        assert (await caller.answer())[0] == 408
+        assert await caller.closed()
+
+
+@sockets
+async def test_calls_are_pipelined_answered_in_order_and_late_ones_not_taken_for_others():
+    async def play(n, head, body):
+        await asyncio.sleep(0.25 if n == 0 else 0)
+        return said(503) if n == 2 else said(200, b"%d" % (100 + n))
+
+    async with Site(counter=play) as site:
+        got = []
+        site.limiter.counted = lambda *said: got.append(said[:3])
+        for n in range(3):
+            site.limiter.counter.call(Count(n, 1.0, 10_000))
+        await until(lambda: len(got) == 3)
+        assert [g[1] for g in got] == [Outcome.NO_ANSWER] * 3  # the first held up the others
+        await asyncio.sleep(0.25)
+        site.limiter.counter.call(Count(7, 2.5, 10_000))
+        await until(lambda: len(got) == 4)
+        assert got[3] == (7, Outcome.PASSED, 103.0) and site.counter.connections == 1
+        assert site.counter.heads[3].startswith(b"POST /counters/7?by=2.5&expire_ms=1000 ")
+
+
+@sockets
+async def test_a_counter_that_breaks_may_have_added_and_one_that_refuses_has_not():
+    async with Site(counter=lambda n, head, body: None) as site:
+        got = []
+        site.limiter.counted = lambda *said: got.append(said[1])
+        site.limiter.counter.call(Count(1, 1.0, 10_000))
+        await until(lambda: got)
+        site.counter.stop()
+        await site.counter.server.wait_closed()
+        site.limiter.counter.call(Count(1, 1.0, 10_000))
+        await until(lambda: len(got) == 2)
+        assert got == [Outcome.NO_ANSWER, Outcome.NO_CONNECTION]
+
+
+@sockets
+async def test_a_silent_counter_gets_few_connections():
+    async with Site(counter=silent) as site:
+        counter, got = site.limiter.counter, []
+        site.limiter.counted = lambda *said: got.append(said[1])
+        counter.timeout, counter.patience = 0.01, 0.02
+        for n in range(30):
+            counter.call(Count(n, 1.0, 10_000))
+            await asyncio.sleep(0.02)
+        assert set(got) == {Outcome.NO_ANSWER} and 2 <= site.counter.connections <= 6
+
+
+@sockets
+async def test_the_watch_is_resumed_where_it_broke_and_replaced_when_silent():
+    async with Site(passes, passes) as site:
+        limiter, discovery = site.limiter, site.discovery
+        await until(lambda: discovery.open)
+        assert b"GET /api/targets?stream=1&index=4 " in discovery.heads[0]
+        site.tell(revision=6, complete=False, members=[site.members[0] | {"phase": "left"}])
+        await until(lambda: list(limiter.pool.addresses) == [1])
+        discovery.cut()
+        await until(lambda: len(discovery.heads) == 2)
+        assert b"index=6 " in discovery.heads[1]
+        limiter.watch.heard_at -= 60
+        limiter.watch.sweep()
+        await until(lambda: len(discovery.heads) == 3)
+        await until(lambda: discovery.open)
+        site.tell(revision=7, complete=True, members=[site.members[0]])
+        await until(lambda: list(limiter.pool.addresses) == [0])
+
+
+@sockets
+async def test_a_watch_that_says_nonsense_is_begun_anew():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        await until(lambda: site.discovery.open)
+        for writer in site.discovery.open:
+            writer.write(chunk(["no", "list"]))
+        await until(lambda: len(site.discovery.heads) == 2)
+        assert (await caller.ask(request()))[0] == 200
+
+
+@sockets
+async def test_told_to_stop_it_serves_on_and_ends_when_empty(monkeypatch):
+    monkeypatch.setattr("loomstand.net.limiter.LINGER", 0.2)
+    slow = lambda n, head, body: asyncio.sleep(0.4, said(200))  # noqa: E731
+    async with Site(slow) as site, Caller(site.port) as busy, Caller(site.port) as idle:
+        busy.writer.write(request())
+        await until(lambda: site.servers[0].heads)
+        site.limiter.stop()
+        assert await idle.closed()
+        async with Caller(site.port) as late:  # new connections still come for a while
+            status, head, _ = await late.ask(request(id_="r2"))
+            assert status == 200 and b"connection: close" in head.lower()
+        status, head, _ = await busy.answer()
+        assert status == 200 and b"connection: close" in head.lower() and await busy.closed()
+        await until(site.limiter.stopped.is_set)
+        with pytest.raises(OSError):
+            await asyncio.open_connection("127.0.0.1", site.port)
+
+
+@sockets
+async def test_a_failure_of_the_module_costs_one_req_only():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        handle = site.limiter.brain.handle
+        site.limiter.brain.handle = lambda now, note: 1 / 0
+        assert (await caller.ask(request()))[0] == 502
+        site.limiter.brain.handle = handle
+        assert (await caller.ask(request()))[0] == 200
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,217 @@
+"""Rings, messages, endings and configuration, as far as they need no socket."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from helpers import config_file, member
+from hypothesis import given
+from hypothesis import strategies as st
+
+from loomstand.config import ConfigError, parse, settings
+from loomstand.interface import Effect, Outcome
+from loomstand.net.endings import KEPT_HERE, Ending, answered, call_outcome, outcome
+from loomstand.net.http import MOST_BODY, MOST_HEAD, MOST_RING, Malformed, RequestReceiver, ResponseReceiver
+from loomstand.net.ring import FIRST, Ring, Room
+
+PORTS = {"listen": 3000, "discovery": 8500, "counter": 6400}
+
+
+@given(st.lists(st.tuples(st.booleans(), st.binary(max_size=3000)), max_size=40))
+def test_a_ring_keeps_bytes_in_order_and_its_allowance(steps):
+    room = Room(3 * FIRST)
+    ring, model = Ring(room, 2 * FIRST), b""
+    for fill, data in steps:
+        if fill:
+            space = ring.space()
+            n = min(len(space), len(data))
+            space[:n] = data[:n]
+            ring.wrote(n)
+            model += data[:n]
+            if ring.put(data):
+                model += data
+        else:
+            assert ring.take(len(data)) == model[: len(data)]
+            model = model[len(data) :]
+        assert ring.peek() == model and len(ring) == len(model) <= ring.size <= 2 * FIRST
+        assert room.left == 3 * FIRST - ring.size
+        assert ring.find(b"\0\0") == model.find(b"\0\0")
+    ring.close()
+    assert room.left == 3 * FIRST
+
+
+def fed(machine, pieces):
+    """Feeds a machine piece by piece; the messages that came whole, as (start, fields, body)."""
+    ring, got = Ring(Room(1 << 20), MOST_RING), []
+    for piece in pieces:
+        while piece:
+            space = ring.space()
+            n = min(len(space), len(piece))
+            space[:n], piece = piece[:n], piece[n:]
+            ring.wrote(n)
+            while machine.step(ring):
+                start = machine.status if isinstance(machine, ResponseReceiver) else machine.target
+                got.append((start, dict(machine.fields), bytes(machine.body), machine.close))
+                machine.reset()
+    return got
+
+
+@st.composite
+def split(draw, raw):
+    cuts = sorted(draw(st.lists(st.integers(0, len(raw)), max_size=12)))
+    return [raw[a:b] for a, b in zip([0, *cuts], [*cuts, len(raw)], strict=True)]
+
+
+@st.composite
+def messages(draw):
+    """Some messages one behind another, and what they should be read as."""
+    raw, want = b"", []
+    for body in draw(st.lists(st.binary(max_size=200), min_size=1, max_size=4)):
+        value = draw(st.text("abcXYZ019 ;=", max_size=20)).strip().encode()
+        fields = {b"x-one": value}
+        line = (
+            b"\r\n" * draw(st.integers(0, 1))
+            + b"POST /a?b=c HTTP/1.1\r\nX-One:"
+            + b" " * draw(st.integers(0, 2))
+        )
+        line += value + b"\r\n"
+        if draw(st.booleans()):
+            fields[b"transfer-encoding"] = b"chunked"
+            at = draw(st.integers(0, len(body)))
+            chunks = [c for c in (body[:at], body[at:]) if c]
+            raw += line + b"Transfer-Encoding: chunked\r\n\r\n"
+            raw += b"".join(b"%X;x=1\r\n%b\r\n" % (len(c), c) for c in chunks) + b"0\r\nT: 1\r\n\r\n"
+        else:
+            fields[b"content-length"] = b"%d" % len(body)
+            raw += line + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        want.append((fields, body))
+    return draw(split(raw)), want
+
+
+@given(messages())
+def test_requests_read_the_same_however_they_are_split(case):
+    pieces, want = case
+    assert [(fields, body) for _, fields, body, _ in fed(RequestReceiver(), pieces)] == want
+
+
+@given(messages())
+def test_answers_read_the_same_however_they_are_split(case):
+    pieces, want = case
+    raw = b"".join(pieces).replace(b"POST /a?b=c HTTP/1.1", b"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK")
+    assert [(fields, body) for _, fields, body, _ in fed(ResponseReceiver(), [raw])] == want
+    assert [
+        (fields, body) for _, fields, body, _ in fed(ResponseReceiver(), [bytes([b]) for b in raw])
+    ] == want
+
+
+@given(messages(), st.data())
+def test_a_cut_message_is_never_whole(case, data):
+    pieces, want = case
+    raw = b"".join(pieces)
+    cut = raw[: data.draw(st.integers(0, len(raw) - 1))]
+    assert len(fed(RequestReceiver(), [cut])) < len(want)
+
+
+@given(st.binary(max_size=400), st.data())
+def test_noise_is_refused_or_waited_on_but_nothing_else(noise, data):
+    raw = b"GET /a HTTP/1.1\r\nHost: b\r\n\r\n"
+    at = data.draw(st.integers(0, len(raw)))
+    for machine in (RequestReceiver(), ResponseReceiver()):
+        try:
+            fed(machine, [raw[:at] + noise + raw[at:]])
+        except Malformed as why:
+            assert 400 <= why.status < 600
+
+
+HEAD = b"GET /a HTTP/1.1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"GET a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a\r\n\r\n", 400),
+        (b"GET /a HTTP/2.0\r\n\r\n", 505),
+        (b"HEAD /a HTTP/1.1\r\n\r\n", 501),
+        (HEAD + b"no colon\r\n\r\n", 400),
+        (HEAD + b"bad name: 1\r\n\r\n", 400),
+        (HEAD + b"a: 1\r\n folded\r\n\r\n", 400),
+        (HEAD + b"a: 1\nb: 2\r\n\r\n", 400),
+        (HEAD + b"a: 1\rb: 2\r\n\r\n", 400),
+        (HEAD + b"a: \0\r\n\r\n", 400),
+        (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 400),
+        (HEAD + b"Content-Length: %d\r\n\r\n" % (MOST_BODY + 1), 413),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % (MOST_BODY + 1), 413),
+        (HEAD + b"a: %b\r\n\r\n" % (b"x" * MOST_HEAD), 431),
+        (b"x" * (MOST_HEAD + 1), 431),
+    ],
+)
+def test_bad_requests_get_their_status(raw, status):
+    with pytest.raises(Malformed) as why:
+        fed(RequestReceiver(), [raw])
+    assert why.value.status == status
+
+
+def test_an_answer_without_a_length_is_not_taken_for_whole():
+    with pytest.raises(Malformed):
+        fed(ResponseReceiver(), [b"HTTP/1.1 200 OK\r\n\r\nsome"])
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_only_what_was_not_written_is_proven_not_run(ending):
+    proven = {Outcome.NO_CONNECTION, Outcome.NOT_SENT, Outcome.TURNED_AWAY}
+    assert outcome(ending, False) in proven and outcome(ending, True) not in proven
+    # trouble of our own is not held against a server
+    assert (outcome(ending, False) is Outcome.NOT_SENT) == (ending in KEPT_HERE)
+    # a call that was written may have been added, however it ended
+    assert call_outcome(ending, True) is Outcome.NO_ANSWER
+    assert call_outcome(ending, False) is Outcome.NO_CONNECTION
+
+
+def test_only_a_marked_503_or_504_was_turned_away():
+    assert answered(503, True) is answered(504, True) is Outcome.TURNED_AWAY
+    assert answered(200, True) is Outcome.PASSED
+    assert {answered(s, n) for s, n in ((503, False), (500, True), (404, False))} == {Outcome.SERVER_ERROR}
+
+
+def config(change):
+    file = config_file(PORTS, [member("s0", 3001)])
+    change(file)
+    return parse(json.dumps(file).encode(), {})
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (lambda f: f["limits"].update(sockets="many"), "limits.sockets"),
+        (lambda f: f["limits"].update(sockets=3), "limits.sockets"),
+        (lambda f: f["settings"].pop("balancers"), "settings.balancers"),
+        (lambda f: f["settings"]["grades"][1].update(effect="odd"), "settings.grades[1].effect"),
+        (lambda f: f["settings"].update(me=9), "settings.me"),
+        (lambda f: f.update(listen="nowhere"), "listen"),
+        (lambda f: f.update(counter=""), "counter"),
+        (lambda f: f.update(seed="x"), "seed"),
+        (lambda f: f["known"]["members"][0].update(phase="gone"), "known.members[0].phase"),
+    ],
+)
+def test_a_fault_in_the_configuration_is_named(change, key):
+    with pytest.raises(ConfigError, match="key") as why:
+        config(change)
+    assert f"key '{key}'" in str(why.value)
+
+
+def test_the_environment_wins_and_the_settings_are_translated_once():
+    raw = json.dumps(config_file(PORTS, [])).encode()
+    read = parse(raw, {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.2:80"})
+    assert (read.name, read.listen, read.discovery) == ("n7", ("127.0.0.2", 80), ("127.0.0.1", 8500))
+    told = settings(read.conf, 0)
+    assert [f.effect for f in told.frontends] == [Effect.REPLAYABLE, Effect.NON_REPLAYABLE]
+    assert (told.count_timeout, told.drain_grace, told.frontends[0].client_timeout) == (1000, 5000, 15000)
+    with pytest.raises(ConfigError, match="PROXY_DISCOVERY"):
+        parse(raw, {"PROXY_DISCOVERY": "x:y"})
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,10 @@
 COUNTS = (Outcome.PASSED,) * 4 + (Outcome.NO_ANSWER, Outcome.TURNED_AWAY, Outcome.NO_CONNECTION)
 STEP = st.tuples(
     st.sampled_from(
-        ["reqs"] * 6 + ["ends"] * 6 + ["counts"] * 3 + ["time"] * 3
+        ["reqs"] * 6
+        + ["ends"] * 6
+        + ["counts"] * 3
+        + ["time"] * 3
         + ["list", "kill", "gone", "heat", "stall", "empty"]
     ),
     st.integers(0, 1 << 20),
