--- a/loomstand/config.py
+++ b/loomstand/config.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Mapping
 from math import ceil
-from pathlib import Path
 from typing import Annotated, Literal
 
 import msgspec
@@ -163,7 +162,8 @@
     if not path:
         raise ConfigError("key 'PROXY_CONFIG': not set, and no file was named")
     try:
-        raw = Path(path).read_bytes()
+        with open(path, "rb") as file:
+            raw = file.read()
     except OSError as why:
         raise ConfigError(f"key 'PROXY_CONFIG': {path}: {why.strerror}") from None
     return parse(raw, env)
