Bytes that come with a connection count from then; early answers heard; a line about connections

Seen on reading the code: the first req of a connection that stood open before it was taken to have come with the connection (a wait of 3 s unused would have cost the req 3 s), and an answer ahead of the req's last byte was a lost connection.

--- a/loomstand/cli.py
+++ b/loomstand/cli.py
@@ -37,7 +37,7 @@
     config, turns = configured(path), Turns()
 
     async def run() -> None:
-        limiter = Limiter(config, lambda: (turns.since, turns.longest))
+        limiter = Limiter(config, turns)
         for sig in (signal.SIGTERM, signal.SIGINT):
             limiter.loop.add_signal_handler(sig, limiter.stop)
         await limiter.run()
--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -18,27 +18,29 @@
 class Client:
     """A client's connection: one req at a time."""
 
-    __slots__ = ("busy_at", "front", "machine", "req", "since", "wire")
+    __slots__ = ("busy_at", "fresh", "front", "machine", "made_at", "read_at", "req", "wire")
 
     def __init__(self, front: Front) -> None:
         self.front, self.machine = front, http.RequestReceiver()
         self.wire = Wire(self, front.limiter.room, http.MOST_RING)
         self.req: Req | None = None
-        self.since = self.busy_at = front.limiter.arrived_at()
+        self.made_at = self.read_at = self.busy_at = front.limiter.turns.since
+        self.fresh = 0
 
     def opened(self) -> None:
+        self.fresh = self.front.limiter.turns.count + 1
         self.front.let_in(self)
 
     def received(self) -> None:
-        now = self.front.limiter.arrived_at()
-        self.busy_at = now
+        turns = self.front.limiter.turns
+        # what is there when a connection is first looked at can have come with the connection
+        self.read_at = self.busy_at = self.made_at if turns.count <= self.fresh else turns.since
         if self.req is None:
-            self.take(now if self.since is None else min(now, self.since))
-            self.since = None
+            self.take()
         elif self.wire.inbound.used >= self.wire.inbound.most:
             self.wire.hold()  # a client that sends ahead waits for its answer
 
-    def take(self, at: float) -> None:
+    def take(self) -> None:
         """Hands on the reqs that are whole, one after the other."""
         wire, machine = self.wire, self.machine
         while self.req is None and wire.ending is None and not wire.lingering:
@@ -48,9 +50,9 @@
             except http.Malformed as why:
                 self.answer(why.status, f"{why}\n".encode(), close=True)
                 return
-            self.handle(at)
+            self.handle()
 
-    def handle(self, at: float) -> None:
+    def handle(self) -> None:
         limiter, machine = self.front.limiter, self.machine
         if machine.target.startswith(b"/-/"):
             status = 404
@@ -59,7 +61,7 @@
             self.answer(status)
             return
         try:
-            limiter.take(self, machine, at)
+            limiter.take(self, machine, self.read_at)
         except http.Malformed as why:
             # the message was whole: the connection can go on
             self.answer(why.status, f"{why}\n".encode())
@@ -78,7 +80,7 @@
     def next(self) -> None:
         """Takes up what came while a req was being answered."""
         self.wire.resume()
-        self.take(self.busy_at)
+        self.take()
 
     def ended(self, why: Ending) -> None:
         self.front.gone(self)
--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -62,6 +62,7 @@
 
     def ended(self, why: Ending) -> None:
         self.off()
+        self.keeper.limiter.endings[f"counter {why.name.lower()}"] += 1
         self.keeper.lost(self, why)
 
 
--- a/loomstand/net/discovery.py
+++ b/loomstand/net/discovery.py
@@ -85,6 +85,7 @@
 
     def ended(self, why: Ending) -> None:
         self.off()
+        self.limiter.endings[f"discovery {why.name.lower()}"] += 1
         if not self.stopped:
             self.limiter.loop.call_later(self.wait, self.start)
             self.wait = min(AGAIN[1], self.wait * 2)
--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.since = self.back = time.monotonic()
+        self.count = 0
         self.longest = 0.0  # the longest turn lately, halved each second
 
     def select(self, timeout: float | None = None) -> list:
@@ -32,9 +33,20 @@
         # where the wait was a real one nothing was there when it began
         self.since = now if now - went > lasted else self.back
         self.back = now
+        self.count += 1
         return ready
 
 
+class Untimed:
+    """In its place on a loop of somebody else's: bytes are taken to have come when they are read."""
+
+    count, longest = 0, 0.0
+
+    @property
+    def since(self) -> float:
+        return time.monotonic()
+
+
 class Wire(asyncio.BufferedProtocol):
     """One connection. Its user gives `received` and `ended`, which is called once; neither after `drop`."""
 
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections import Counter as Tally
 
 from loomstand import interface as i
 from loomstand.brain import Brain
@@ -15,6 +15,7 @@
 from loomstand.net.clients import Client, Front
 from loomstand.net.counter import Counter
 from loomstand.net.discovery import Watch
+from loomstand.net.driver import Turns, Untimed
 from loomstand.net.endings import Ending
 from loomstand.net.log import Log
 from loomstand.net.req import Names, Req
@@ -23,17 +24,18 @@
 
 PHASES = {"active": i.Phase.LIVE, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
 LINGER = 0.7  # PROTOCOL: a req that comes later than this after SIGTERM may find nobody
+TOLD_EVERY = 10  # seconds between lines about connections
 FIXED_SOCKETS = 24  # standard streams, the loop's own, the listener, the counter's, discovery's and the files
 
 
 class Limiter:
     """Everything of one limiter. `run` serves until it is told to stop."""
 
-    def __init__(self, config: Config, since: Callable[[], tuple[float, float]] | None = None) -> None:
+    def __init__(self, config: Config, turns: Turns | None = None) -> None:
         conf, limits = config.conf, config.limits
         self.config, self.log = config, Log(config.name)
         self.loop = asyncio.get_running_loop()
-        self.since = since or (lambda: (self.loop.time(), 0.0))
+        self.turns = turns or Untimed()
         # one clock at all limiters, that never goes back here
         self.epoch = time.time_ns() - time.monotonic_ns()
         self.halls, self.kinds, self.servers = Door(conf.zones), Door(conf.kinds), Door()
@@ -52,21 +54,19 @@
         self.watch = Watch(self, config.discovery, config.known.revision, within)
         self.reqs: dict[int, Req] = {}
         self.last, self.able = 0, False
+        self.endings: Tally[str] = Tally()  # of connections to others since the last line about them
+        self.swept = 0
         self.patience = max(g.deadline for g in conf.grades) / 1000
         self.stopped = asyncio.Event()
         self.kinds_of_action = {
             i.Dispatch: self.dispatch, i.Deny: self.deny, i.Abort: self.abort, i.CallOff: self.call_off,
-            i.Wake: self.wake, i.Count: self.count, i.Log: self.tell,
+            i.Wake: self.wake, i.Count: self.count, i.Probe: self.probe, i.Log: self.tell,
         }  # fmt: skip
 
     def now(self) -> int:
         """The common clock, in tenths of a millisecond."""
         return (time.monotonic_ns() + self.epoch) // 100_000
 
-    def arrived_at(self) -> float:
-        """The earliest at which the bytes now read can have come, on the loop's clock."""
-        return self.since()[0]
-
     # life
 
     async def run(self) -> None:
@@ -88,6 +88,12 @@
         self.front.sweep(self.patience)
         self.pool.sweep()
         self.watch.sweep()
+        self.swept += 1
+        if self.swept % TOLD_EVERY == 0:
+            ends = ", ".join(f"{why} {n}" for why, n in sorted(self.endings.items())) or "none"
+            held = f"{len(self.front.clients)} from clients, {len(self.pool.links)} to servers"
+            self.log(f"connections: {held}; ended: {ends}")
+            self.endings.clear()
         if not self.stopped.is_set():
             self.loop.call_later(1.0, self.sweep)
 
@@ -140,7 +146,7 @@
             return
         # the wait counts from the sending; this limiter's own late turns must not make the answer late
         timeout = min(10 * req.timeout, self.settings.frontends[req.frontend].client_timeout)
-        lost = self.loop.time() - at + min(self.since()[1], timeout / 20_000)
+        lost = self.loop.time() - at + min(self.turns.longest, timeout / 20_000)
         req.give_up = self.now() + timeout - int(max(0.0, lost) * 10_000) - 1
         self.last += 1
         req.id, req.client, client.req = self.last, client, req
@@ -236,5 +242,9 @@
         else:
             self.counter.call(act)
 
+    def probe(self, act: i.Probe) -> None:
+        # the module makes none today, and the protocol names no path for it
+        self.loop.call_soon(self.note, i.Probed(act.srv, Outcome.NOT_SENT, 0))
+
     def tell(self, act: i.Log) -> None:
         self.log(act.text)
--- a/loomstand/net/log.py
+++ b/loomstand/net/log.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from contextlib import suppress
 
 BURST = 50  # lines at once
 PER_S = 10  # and a second from then on
@@ -25,4 +26,5 @@
         self.left -= 1
         more = f" ({self.kept} lines kept back)" if self.kept else ""
         self.kept = 0
-        print(f"{self.name}: {text}{more}", file=sys.stderr, flush=True)
+        with suppress(OSError, ValueError):  # nobody listens any more: serving goes on
+            print(f"{self.name}: {text}{more}", file=sys.stderr, flush=True)
--- a/loomstand/net/servers.py
+++ b/loomstand/net/servers.py
@@ -60,13 +60,10 @@
         except http.Malformed as why:
             self.wire.stop(Ending.OVERSIZED if why.status in (413, 431) else Ending.MALFORMED)
             return
-        if not self.wire.written:  # answered before the req was whole: the rest must not follow
-            self.wire.stop(Ending.MALFORMED)
-            return
         status, fields, body, close = machine.status, machine.fields, machine.body, machine.close
         self.flight = None
         machine.reset()
-        if close or self.wire.inbound.used:
+        if close or self.wire.inbound.used or not self.wire.written:  # nothing may follow an early answer
             self.pool.shut(self, Ending.FINISHED)
         else:
             self.pool.keep(self)
@@ -76,6 +73,7 @@
 
     def ended(self, why: Ending) -> None:
         self.off()
+        self.pool.limiter.endings[f"server {why.name.lower()}"] += 1
         self.pool.lost(self)
         if self.flight is not None:
             flight, self.flight = self.flight, None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -358,7 +358,8 @@
         ports["discovery"] = await self.discovery.start()
         self.members = [member(f"s{n}", await peer.start()) for n, peer in enumerate(self.servers)]
         raw = json.dumps(config_file(ports, self.members, **self.changes)).encode()
-        self.limiter, self.port = Limiter(parse(raw, {})), ports["listen"]
+        turns = asyncio.get_running_loop()._selector  # the helper `sockets` of the tests puts a Turns there
+        self.limiter, self.port = Limiter(parse(raw, {}), turns), ports["listen"]
         self.task = asyncio.create_task(self.limiter.run())
         while not self.limiter.front.server:
             await asyncio.sleep(0.005)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import functools
+import json
+import socket
+import subprocess
+import sys
 import time
 
 import pytest
-from helpers import Caller, Site, chunk, request, said, until
+from helpers import Caller, Site, chunk, config_file, free_port, member, request, said, until
 
 from loomstand.interface import Count, Outcome
 from loomstand.net.driver import Turns, Wire, connect
@@ -223,6 +227,41 @@
         assert time.monotonic() - sent < 0.45
 
 
+@sockets
+async def test_a_connection_that_waits_before_its_first_req_loses_no_time():
+    async with Site(lambda n, head, body: asyncio.sleep(0.1, said(200))) as site, Caller(site.port) as caller:
+        await asyncio.sleep(0.3)
+        assert (await caller.ask(request(timeout=250)))[0] == 200
+
+
+@sockets
+async def test_what_came_with_a_connection_counts_from_then():
+    async with Site(silent) as site, Caller(site.port) as caller:
+        caller.writer.write(request("book", timeout=400))
+        time.sleep(0.2)  # before the limiter has looked at the connection
+        began = time.monotonic()
+        assert (await caller.answer())[0] in (429, 502)
+        assert time.monotonic() - began < 0.25
+
+
+@sockets
+async def test_a_server_that_answers_before_the_req_is_whole_is_heard():
+    async def early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(said(503, b"", b"Not-Started: 1\r\nConnection: close\r\n"))
+        await asyncio.sleep(0.2)
+        writer.close()
+
+    server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1 << 10)
+    port = server.sockets[0].getsockname()[1]
+    known = {"revision": 1, "complete": True, "members": [member("s9", port)]}
+    async with Site(known=known) as site, Caller(site.port) as caller:
+        seen = outcomes(site)
+        assert (await caller.ask(request("book", body=b"x" * 60_000)))[0] == 429
+        assert set(seen) == {Outcome.TURNED_AWAY}
+    server.close()
+
+
 @sockets
 async def test_clients_beyond_the_bound_make_room_or_are_turned_away():
     async with Site(silent) as site:
@@ -348,3 +387,24 @@
         assert (await caller.ask(request()))[0] == 502
         site.limiter.brain.handle = handle
         assert (await caller.ask(request()))[0] == 200
+
+
+def test_the_program_serves_and_ends_at_sigterm(tmp_path):
+    file = tmp_path / "limiter.json"
+    ports = {"listen": free_port(), "discovery": free_port(), "counter": free_port()}
+    file.write_text(json.dumps(config_file(ports, [member("s0", free_port())])))
+    run = [sys.executable, "-m", "loomstand"]
+    serve = subprocess.Popen([*run, "serve", "--config", file], stderr=subprocess.PIPE, text=True)
+    try:
+        assert "listens" in serve.stderr.readline()
+        with socket.create_connection(("127.0.0.1", ports["listen"]), 5) as sock:
+            sock.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            assert sock.recv(100).startswith(b"HTTP/1.1 200 ")
+            serve.terminate()
+            assert sock.recv(100) == b""
+        assert serve.wait(10) == 0
+    finally:
+        serve.kill()
+    file.write_text(file.read_text().replace('"balancers": 1', '"balancers": "x"'))
+    bad = subprocess.run([*run, "check", "--config", file], capture_output=True, text=True)
+    assert bad.returncode == 1 and "settings.balancers" in bad.stderr
