--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -74,9 +74,7 @@
     ) -> None:
         self.limiter, self.address = limiter, address
         self.timeout, self.connect_timeout = timeout, connect_timeout
-        self.patience = (
-            connect_timeout  # with a connection on which nothing comes; doubled each time in a row
-        )
+        self.patience = connect_timeout  # with a silent connection; doubled each time in a row
         self.line: Line | None = None
         self.queue: deque[tuple[Call, bytes]] = deque()  # calls for a connection that is coming up
         self.open: deque[Call] = deque()  # all calls without an outcome, the oldest first
@@ -89,8 +87,8 @@
         call = Call(act.name, loop.time())
         self.queue.append((call, raw % (act.name, act.step, keep)))
         self.open.append(call)
-        if self.timer is None:
-            self.timer = loop.call_at(call.at + self.timeout, self.late)
+        if len(self.open) == 1:
+            self.arm()
         if self.line is None:
             self.line = Line(self)
             self.line.off = connect(loop, self.line.wire, self.address, self.connect_timeout)
@@ -113,22 +111,26 @@
             call.written = True
             line.calls.append(call)
 
+    def arm(self) -> None:
+        """One timer, for the oldest call; none where no call is open, as each turn of the loop costs."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.open:
+            self.timer = self.limiter.loop.call_at(self.open[0].at + self.timeout, self.late)
+
     def late(self) -> None:
         """Gives up the calls that have waited long enough."""
         now = self.limiter.loop.time()
-        while self.open and (self.open[0].told or now - self.open[0].at >= self.timeout - 1e-4):
-            call = self.open.popleft()
-            if not call.told:
-                self.tell(call, call_outcome(Ending.EXPIRED, call.written))
+        while self.open and now - self.open[0].at >= self.timeout - 1e-4:
+            self.tell(self.open[0], call_outcome(Ending.EXPIRED, self.open[0].written))
         line = self.line
         if line is not None and line.up and line.calls and now - line.heard_at > self.patience:
             # nothing comes any more; a new connection shows whether the machine is there, and a machine that
             # only stands still would hold the old ones too
             self.patience *= 2
             line.wire.stop(Ending.STALLED)
-        self.timer = None
-        if self.open:
-            self.timer = self.limiter.loop.call_at(self.open[0].at + self.timeout, self.late)
+        self.arm()
 
     def answered(self, call: Call, status: int, body: bytes) -> None:
         if call.told:
@@ -140,6 +142,10 @@
 
     def tell(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         call.told = True
+        if self.open and self.open[0].told:
+            while self.open and self.open[0].told:
+                self.open.popleft()
+            self.arm()
         took = int((self.limiter.loop.time() - call.at) * 10_000) + 1  # never too small
         self.limiter.counted(call.name, outcome, total, took)
 
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -92,7 +92,8 @@
         if self.swept % TOLD_EVERY == 0:
             ends = ", ".join(f"{why} {n}" for why, n in sorted(self.endings.items())) or "none"
             held = f"{len(self.front.clients)} from clients, {len(self.pool.links)} to servers"
-            self.log(f"connections: {held}; ended: {ends}")
+            work = f"{time.process_time():.2f} s of CPU, {self.turns.count} turns"
+            self.log(f"connections: {held}; ended: {ends}; {work} since the start")
             self.endings.clear()
         if not self.stopped.is_set():
             self.loop.call_later(1.0, self.sweep)
