--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import re
 import socket
 from collections.abc import Callable
@@ -215,13 +216,17 @@
 # Stand-ins on loopback, for the limiter on sockets.
 
 
+# an address of this process's own, so that no other program's ports get in the way
+HOST = f"127.{os.getpid() >> 8 & 127}.{os.getpid() & 255}.9"
+
+
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+    with socket.create_server((HOST, 0)) as sock:
         return sock.getsockname()[1]
 
 
 def member(id_: str, port: int, phase: str = "active") -> dict[str, object]:
-    return {"id": id_, "host_port": f"127.0.0.1:{port}", "locality": "east", "phase": phase, "up_since_ms": 0}
+    return {"id": id_, "host_port": f"{HOST}:{port}", "locality": "east", "phase": phase, "up_since_ms": 0}
 
 
 def config_file(ports: dict[str, int], members: list[dict], **changes: object) -> dict:
@@ -232,9 +237,9 @@
     allowed = {"try_limit": 3, "idle_close": 2000, "connect_timeout": 250, "cancel": True}
     return {
         "name": "n0",
-        "listen": f"127.0.0.1:{ports['listen']}",
-        "discovery": f"127.0.0.1:{ports['discovery']}",
-        "counter": f"127.0.0.1:{ports['counter']}",
+        "listen": f"{HOST}:{ports['listen']}",
+        "discovery": f"{HOST}:{ports['discovery']}",
+        "counter": f"{HOST}:{ports['counter']}",
         "seed": "8c1f",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
         "known": {"revision": 4, "complete": True, "members": members},
@@ -260,7 +265,7 @@
         self.open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
-        self.server = await asyncio.start_server(self.talk, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.talk, HOST, 0)
         return self.server.sockets[0].getsockname()[1]
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -323,7 +328,7 @@
         self.port = port
 
     async def __aenter__(self) -> Caller:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
         return self
 
     async def __aexit__(self, *why: object) -> None:
@@ -362,6 +367,7 @@
         self.limiter, self.port = Limiter(parse(raw, {}), turns), ports["listen"]
         self.task = asyncio.create_task(self.limiter.run())
         while not self.limiter.front.server:
+            assert not self.task.done(), self.task.exception()
             await asyncio.sleep(0.005)
         return self
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 import time
 
 import pytest
-from helpers import Caller, Site, chunk, config_file, free_port, member, request, said, until
+from helpers import HOST, Caller, Site, chunk, config_file, free_port, member, request, said, until
 
 from loomstand.interface import Count, Outcome
 from loomstand.net.driver import Turns, Wire, connect
@@ -122,12 +122,12 @@
 
     async with Site(passes) as site:
         # a listener whose line is full answers no further connect
-        full = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0, backlog=1, start_serving=False)
+        full = await asyncio.start_server(lambda r, w: None, HOST, 0, backlog=1, start_serving=False)
         port = full.sockets[0].getsockname()[1]
         full.sockets[0]._sock.listen(0)
-        hold = [await asyncio.open_connection("127.0.0.1", port)]
+        hold = [await asyncio.open_connection(HOST, port)]
         wire = Wire(User(), site.limiter.room, 1 << 16)
-        connect(loop, wire, ("127.0.0.1", port), 0.1)
+        connect(loop, wire, (HOST, port), 0.1)
         await until(lambda: ended)
         assert ended == [Ending.SILENT_CONNECT]
         hold[0][1].close()
@@ -254,7 +254,7 @@
         await asyncio.sleep(0.2)
         writer.close()
 
-    server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1 << 10)
+    server = await asyncio.start_server(early, HOST, 0, limit=1 << 10)
     port = server.sockets[0].getsockname()[1]
     known = {"revision": 1, "complete": True, "members": [member("s9", port)]}
     async with Site(known=known) as site, Caller(site.port) as caller:
@@ -378,7 +378,7 @@
         assert status == 200 and b"connection: close" in head.lower() and await busy.closed()
         await until(site.limiter.stopped.is_set)
         with pytest.raises(OSError):
-            await asyncio.open_connection("127.0.0.1", site.port)
+            await asyncio.open_connection(HOST, site.port)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -439,7 +439,7 @@
     serve = subprocess.Popen([*run, "serve", "--config", file], stderr=subprocess.PIPE, text=True)
     try:
         assert "listens" in serve.stderr.readline()
-        with socket.create_connection(("127.0.0.1", ports["listen"]), 5) as sock:
+        with socket.create_connection((HOST, ports["listen"]), 5) as sock:
             sock.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
             assert sock.recv(100).startswith(b"HTTP/1.1 200 ")
             serve.terminate()
