Bounds on dripping and lingering clients; embedded limiters time each req by itself

Found on reading: a client that sends a byte now and then was never ended (each byte renewed its time); one that keeps a connection open after Connection: close counted as idle and stayed; without the loop's own selector every req counted from its connection's start; a bad line of discovery reset the wait for the next watch.

--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -18,23 +18,24 @@
 class Client:
     """A client's connection: one req at a time."""
 
-    __slots__ = ("busy_at", "fresh", "front", "machine", "made_at", "read_at", "req", "wire")
+    __slots__ = ("begun_at", "busy_at", "front", "machine", "made", "made_at", "read_at", "req", "wire")
 
     def __init__(self, front: Front) -> None:
         self.front, self.machine = front, http.RequestReceiver()
         self.wire = Wire(self, front.limiter.room, http.MOST_RING)
         self.req: Req | None = None
         self.made_at = self.read_at = self.busy_at = front.limiter.turns.since
-        self.fresh = 0
+        self.begun_at: float | None = None  # when the message that is coming in began
+        self.made = 0
 
     def opened(self) -> None:
-        self.fresh = self.front.limiter.turns.count + 1
+        self.made = self.front.limiter.turns.count
         self.front.let_in(self)
 
     def received(self) -> None:
-        turns = self.front.limiter.turns
-        # what is there when a connection is first looked at can have come with the connection
-        self.read_at = self.busy_at = self.made_at if turns.count <= self.fresh else turns.since
+        self.read_at = self.front.limiter.turns.came(self.made, self.made_at)
+        if self.begun_at is None:
+            self.begun_at = self.read_at
         if self.req is None:
             self.take()
         elif self.wire.inbound.used >= self.wire.inbound.most:
@@ -69,7 +70,7 @@
     def answer(self, status: int, body: bytes = b"", extra: str = "", close: bool = False) -> None:
         """Writes one whole answer, and makes ready for the next req."""
         close = close or self.machine.close or self.front.stopping
-        self.req = None
+        self.req = self.begun_at = None
         self.busy_at = self.front.limiter.loop.time()
         self.machine.reset()
         if not self.wire.send(http.answer(status, body, extra, close)):
@@ -87,9 +88,9 @@
 
     @property
     def idle(self) -> bool:
-        return (
-            self.req is None and not self.wire.inbound.used and not self.machine.begun and self.wire.written
-        )
+        wire = self.wire
+        between = self.req is None and not wire.inbound.used and not self.machine.begun
+        return between and wire.written and not wire.lingering
 
 
 class Front:
@@ -97,7 +98,7 @@
 
     def __init__(self, limiter: Limiter, most: int, at_once: int) -> None:
         self.limiter, self.most, self.at_once = limiter, most, at_once
-        self.clients: dict[Client, None] = {}  # those long without a req first
+        self.clients: dict[Client, None] = {}
         self.server: asyncio.Server | None = None
         self.stopping = False
 
@@ -111,13 +112,13 @@
         self.clients[client] = None
         if len(self.clients) > self.most:
             # the longest idle makes room; where none is idle the newest is turned away, unread
-            old = min(
-                (c for c in self.clients if c.idle and c is not client), key=lambda c: c.busy_at, default=None
-            )
-            if old is None:
+            idle = (c for c in self.clients if c.idle and c is not client)
+            if old := min(idle, key=lambda c: c.busy_at, default=None):
+                old.wire.stop(Ending.IDLE)
+            elif len(self.clients) <= self.most + self.at_once:
                 client.answer(503, close=True)
             else:
-                old.wire.stop(Ending.IDLE)
+                client.wire.stop(Ending.NO_ROOM)
 
     def gone(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -129,7 +130,8 @@
         """Ends connections that stopped within a message, don't take their answer, or linger."""
         now = self.limiter.loop.time()
         for client in list(self.clients):
-            if client.req is None and not client.idle and now - client.busy_at > patience:
+            began = client.busy_at if client.begun_at is None else client.begun_at
+            if client.req is None and not client.idle and now - began > patience:
                 if client.wire.lingering or not client.wire.written:
                     client.wire.stop(Ending.STALLED)
                 else:
--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -57,6 +57,8 @@
                 self.keeper.answered(self.calls.popleft(), status, body)
                 if close:
                     self.wire.stop(Ending.FINISHED)
+            if self.keeper.queue:
+                self.keeper.flush()
         except http.Malformed:
             self.wire.stop(Ending.MALFORMED)
 
--- a/loomstand/net/discovery.py
+++ b/loomstand/net/discovery.py
@@ -69,8 +69,8 @@
                 raise http.Malformed(502, f"status {self.machine.status}")
             for line in self.machine.lines():
                 if line.strip():
-                    self.wait = AGAIN[0]
                     self.told(decode(line))
+                    self.wait = AGAIN[0]
             if over:
                 self.wire.stop(Ending.CLOSED)
         except (http.Malformed, msgspec.DecodeError, ConfigError) as why:
--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -36,6 +36,11 @@
         self.count += 1
         return ready
 
+    def came(self, made: int, made_at: float) -> float:
+        """The earliest at which bytes now read can have come, on a connection made in turn `made`: what is
+        there when it is first looked at can have come with it."""
+        return made_at if self.count <= made + 1 else self.since
+
 
 class Untimed:
     """In its place on a loop of somebody else's: bytes are taken to have come when they are read."""
@@ -46,12 +51,15 @@
     def since(self) -> float:
         return time.monotonic()
 
+    def came(self, made: int, made_at: float) -> float:
+        return self.since
+
 
 class Wire(asyncio.BufferedProtocol):
     """One connection. Its user gives `received` and `ended`, which is called once; neither after `drop`."""
 
     __slots__ = (
-        "ending", "inbound", "lingering", "outbound", "paused", "reading", "since", "transport", "user",
+        "ending", "inbound", "lingering", "outbound", "paused", "reading", "transport", "user",
     )  # fmt: skip
 
     def __init__(self, user: object, room: Room, most: int) -> None:
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -42,12 +42,12 @@
         self.settings = settings(conf, self.halls.at(conf.az))
         self.brain = Brain(self.settings, config.seed, self.now())
         self.names = Names([g.name for g in conf.grades], [p.name for p in conf.plans], self.settings)
-        # half of the memory for buffers, the rest for program and module; of the sockets two parts in five
-        # for clients, as many for servers, and one for clients that are taken in at once
+        # Half of the memory for buffers, the rest for program and module. Of the sockets two parts in five for
+        # clients, as many for servers, and one for clients being taken in or turned away.
         self.room = Room(int(limits.memory_mb * (1 << 20) / 2))
         part = (limits.sockets - FIXED_SOCKETS) // 5
         within, idle = conf.allowed.connect_timeout / 1000, conf.allowed.idle_close / 1000
-        self.front, self.pool = Front(self, 2 * part, part), Pool(self, 2 * part, within, idle)
+        self.front, self.pool = Front(self, 2 * part, part // 2), Pool(self, 2 * part, within, idle)
         self.counter: Counter | None = None
         if config.counter and conf.specifics.has_counter:
             self.counter = Counter(self, config.counter, conf.specifics.count_limit / 1000, within)
--- a/loomstand/net/req.py
+++ b/loomstand/net/req.py
@@ -39,8 +39,8 @@
         units, spread = pairs.get(b"units", b"1"), pairs.get(b"spread", b"0")
         if not DECIMAL(units) or not number(spread):
             raise Malformed(400, "bad X-Call-Terms")
-        if float(units) > self.told.max_units or int(spread) > self.told.limiters:
-            raise Malformed(400, "X-Call-Terms past the settings")
+        if float(units) > self.told.max_units:
+            raise Malformed(400, "X-Call-Terms: more units than the settings allow")
         return float(units), int(spread)
 
     def customer(self, account: bytes) -> tuple[int, int]:
