--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -42,8 +42,8 @@
         self.settings = settings(conf, self.halls.at(conf.az))
         self.brain = Brain(self.settings, config.seed, self.now())
         self.names = Names([g.name for g in conf.grades], [p.name for p in conf.plans], self.settings)
-        # Half of the memory for buffers, the rest for program and module. Of the sockets two parts in five for
-        # clients, as many for servers, and one for clients being taken in or turned away.
+        # Half of the memory for buffers, the rest for program and module. Of the sockets two parts in five
+        # for clients, as many for servers, and one for clients being taken in or turned away.
         self.room = Room(int(limits.memory_mb * (1 << 20) / 2))
         part = (limits.sockets - FIXED_SOCKETS) // 5
         within, idle = conf.allowed.connect_timeout / 1000, conf.allowed.idle_close / 1000
