--- a/loomstand/config.py
+++ b/loomstand/config.py
@@ -97,7 +97,7 @@
 
 class Limits(Part):
     cores: Annotated[float, Meta(gt=0)] = 1.0
-    memory_mb: Annotated[float, Meta(ge=32)] = 192
+    memory_mb: Annotated[float, Meta(ge=16)] = 192
     sockets: Annotated[int, Meta(ge=48)] = 1024
 
 
