--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -55,7 +55,7 @@
     def take(self) -> None:
         """Hands on the reqs that are whole, one after the other."""
         wire, machine = self.wire, self.machine
-        while self.req is None and wire.ending is None and not wire.lingering:
+        while wire.inbound.used and self.req is None and wire.ending is None and not wire.lingering:
             try:
                 if not machine.step(wire.inbound):
                     return
--- a/loomstand/net/ring.py
+++ b/loomstand/net/ring.py
@@ -90,6 +90,10 @@
             self.head = 0
 
     def take(self, n: int) -> bytes:
+        if n == self.used <= self.size - self.head and self.size <= FIRST:  # as usual: a whole message
+            data = bytes(self.buf[self.head : self.head + n])
+            self.head = self.used = 0
+            return data
         data = self.peek(n)
         self.skip(len(data))
         return data
