--- a/loomstand/net/http.py
+++ b/loomstand/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 
 from loomstand.net.ring import Ring
 
@@ -42,10 +43,31 @@
         self.status = status
 
 
+def read_head(raw: bytes) -> tuple[bytes, dict[bytes, bytes]]:
+    """The start line and the fields of a head, names in small letters."""
+    lines, start = raw.count(b"\r\n"), raw.find(b"\r\n")
+    pairs = FIELD(raw, start + 2)
+    if len(pairs) != lines - 1 or raw.count(b"\n") != lines or raw.count(b"\r") != lines:
+        raise Malformed(400, "bad field line")
+    fields = {name.lower(): value.rstrip(b" \t") for name, value in pairs}
+    if len(fields) != len(pairs):  # some came more than once
+        lists: dict[bytes, list[bytes]] = {}
+        for name, value in pairs:
+            lists.setdefault(name.lower(), []).append(value.rstrip(b" \t"))
+        lengths = set(lists.get(b"content-length", []))
+        if len(lengths) > 1:
+            raise Malformed(400, "two lengths")
+        fields = {name: b", ".join(values) for name, values in lists.items()}
+        for length in lengths:
+            fields[b"content-length"] = length
+    return raw[:start], fields
+
+
 class Receiver:
     """Takes one message after another from a ring. `step` goes as far as the bytes do."""
 
     __slots__ = ("body", "close", "fields", "left", "most", "searched", "state")
+    read = staticmethod(read_head)
 
     def __init__(self, most: int = MOST_BODY) -> None:
         self.most = most
@@ -91,28 +113,11 @@
             raw = raw.lstrip(b"\r\n")
             if not raw:
                 return True
-        lines, start = raw.count(b"\r\n"), raw.find(b"\r\n")
-        pairs = FIELD(raw, start + 2)
-        if len(pairs) != lines - 1 or raw.count(b"\n") != lines or raw.count(b"\r") != lines:
-            raise Malformed(400, "bad field line")
-        self.start_line(raw[:start])
-        self.fields = fields = {name.lower(): value.rstrip(b" \t") for name, value in pairs}
-        if len(fields) != len(pairs):
-            self.join(pairs)
+        line, self.fields = self.read(raw)
+        self.start_line(line)
         self.frame()
         return self.state is not None
 
-    def join(self, pairs: list[tuple[bytes, bytes]]) -> None:
-        """Fields that came more than once."""
-        lists: dict[bytes, list[bytes]] = {}
-        for name, value in pairs:
-            lists.setdefault(name.lower(), []).append(value.rstrip(b" \t"))
-        if len(set(lists.get(b"content-length", []))) > 1:
-            raise Malformed(400, "two lengths")
-        self.fields = {name: b", ".join(values) for name, values in lists.items()}
-        if b"content-length" in lists:
-            self.fields[b"content-length"] = lists[b"content-length"][0]
-
     def frame(self) -> None:
         """How the body is framed."""
         fields = self.fields
@@ -215,6 +220,7 @@
     """The client's side of a connection."""
 
     __slots__ = ("status",)
+    read = staticmethod(lru_cache(256)(read_head))  # answers have few different heads, and 2 MiB hold these
 
     def start_line(self, line: bytes) -> None:
         said = STATUS_LINE(line)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -161,6 +161,15 @@
     assert why.value.status == status
 
 
+def test_fields_that_come_again_are_joined_and_equal_lengths_are_one():
+    raw = HEAD + b"A: 1\r\nContent-Length: 2\r\na: 2\r\nContent-Length: 2\r\n\r\nok"
+    for machine in (RequestReceiver(), ResponseReceiver()):
+        said = raw.replace(HEAD, b"HTTP/1.1 200 OK\r\n") if isinstance(machine, ResponseReceiver) else raw
+        assert [m[1:3] for m in fed(machine, [said, said])] == [
+            ({b"a": b"1, 2", b"content-length": b"2"}, b"ok")
+        ] * 2
+
+
 def test_an_answer_without_a_length_is_not_taken_for_whole():
     with pytest.raises(Malformed):
         fed(ResponseReceiver(), [b"HTTP/1.1 200 OK\r\n\r\nsome"])
