--- a/loomstand/interface.py
+++ b/loomstand/interface.py
@@ -1,4 +1,4 @@
-"""Plain types between a front (the adapter today) and the decision module.
+"""Plain types between a front (`adapter` or `net`) and the decision module.
 
 Times are whole tenths of a millisecond. Servers, customers, frontends, plans, halls and kinds are small
 indices that the front hands out; a customer also brings a digest that is the same at every limiter.
