SIGHUP reads the configuration again: discovery and counter move, nothing is lost

Checked: no handler for SIGHUP was set (cli.py, serve), so the system's default ended the program; rules and memory were in order before the signal. Ruled out: memory and descriptors (13 of 80 MB, 48 of 384). At fault beside it: config.parse let the environment win, which a running program keeps from its start; Counter.lost failed calls that wait for another line; Counter.flush took a line that was not up for one. Now: the file wins when it is read again; the watch is resumed at the new place from the revision held; the old counter's line stays for what it was sent; a faulty file is logged and the old configuration stands.

--- a/loomstand/cli.py
+++ b/loomstand/cli.py
@@ -30,16 +30,23 @@
 @main.command()
 @file_option
 def serve(path: str | None) -> None:
-    """Run one limiter until SIGTERM."""
+    """Run one limiter until SIGTERM; SIGHUP makes it read its configuration again."""
     from loomstand.net.driver import Turns
     from loomstand.net.limiter import Limiter
 
     config, turns = configured(path), Turns()
 
+    def again(limiter: Limiter) -> None:
+        try:
+            limiter.reload(load(os.environ, path, again=True))
+        except ConfigError as why:
+            limiter.log(f"the configuration can't be used, the one held stands: {why}")
+
     async def run() -> None:
         limiter = Limiter(config, turns)
         for sig in (signal.SIGTERM, signal.SIGINT):
             limiter.loop.add_signal_handler(sig, limiter.stop)
+        limiter.loop.add_signal_handler(signal.SIGHUP, again, limiter)
         await limiter.run()
 
     with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(turns)) as runner:
--- a/loomstand/config.py
+++ b/loomstand/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from ipaddress import ip_address
 from math import ceil
 from typing import Annotated, Literal
 
@@ -154,13 +155,18 @@
 def address(text: str, key: str) -> tuple[str, int]:
     """HOST:PORT with a numeric host."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"key '{key}': '{text}' is not HOST:PORT")
-    return host.strip("[]"), int(port)
+    try:
+        host = str(ip_address(host.strip("[]")))
+        if not port.isascii() or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise ConfigError(f"key '{key}': '{text}' is not HOST:PORT") from None
+    return host, int(port)
 
 
-def load(env: Mapping[str, str], path: str | None = None) -> Config:
-    """The configuration from the environment and the JSON file it names; the environment wins."""
+def load(env: Mapping[str, str], path: str | None = None, again: bool = False) -> Config:
+    """The configuration from the environment and the JSON file it names; the environment wins, but not over a
+    file that is read again: a running program's environment can't follow what has moved."""
     path = path or env.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("key 'PROXY_CONFIG': not set, and no file was named")
@@ -169,10 +175,10 @@
             raw = file.read()
     except OSError as why:
         raise ConfigError(f"key 'PROXY_CONFIG': {path}: {why.strerror}") from None
-    return parse(raw, env)
+    return parse(raw, env, again)
 
 
-def parse(raw: bytes, env: Mapping[str, str]) -> Config:
+def parse(raw: bytes, env: Mapping[str, str], again: bool = False) -> Config:
     try:
         file = msgspec.json.decode(raw, type=File)
     except msgspec.ValidationError as why:
@@ -191,13 +197,16 @@
         seed = int(file.seed, 16)
     except ValueError:
         raise ConfigError(f"key 'seed': '{file.seed}' is not in hex digits") from None
-    listen, discovery = env.get("PROXY_LISTEN"), env.get("PROXY_DISCOVERY")
+
+    def place(variable: str, key: str) -> tuple[str, int]:
+        told, filed = (env.get(variable), variable), (getattr(file, key), key)
+        text, where = next((t for t in ((filed, told) if again else (told, filed)) if t[0]), filed)
+        return address(text, where)
+
     return Config(
         name=env.get("PROXY_NAME") or file.name or f"limiter-{conf.me}",
-        listen=address(listen, "PROXY_LISTEN") if listen else address(file.listen, "listen"),
-        discovery=address(discovery, "PROXY_DISCOVERY")
-        if discovery
-        else address(file.discovery, "discovery"),
+        listen=place("PROXY_LISTEN", "listen"),
+        discovery=place("PROXY_DISCOVERY", "discovery"),
         counter=address(file.counter, "counter") if file.counter else None,
         seed=seed,
         limits=file.limits,
--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -89,13 +89,29 @@
         if len(self.open) == 1:
             self.arm()
         if self.line is None:
-            self.line = Line(self)
-            connect(loop, self.line.wire, self.address, self.connect_timeout)
-        elif self.line.up:
+            self.dial()
+        else:
             self.flush()
 
+    def dial(self) -> None:
+        self.line = Line(self)
+        connect(self.limiter.loop, self.line.wire, self.address, self.connect_timeout)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The counter listens elsewhere from now on; what the old one was sent is still waited for."""
+        old, self.line, self.address = self.line, None, address
+        self.patience = self.connect_timeout
+        if old is not None and old.calls:
+            self.limiter.loop.call_later(self.timeout, old.wire.stop, Ending.FINISHED)
+        elif old is not None:
+            old.wire.stop(Ending.FINISHED)
+        if self.queue:
+            self.dial()
+
     def flush(self) -> None:
         line = self.line
+        if line is None or not line.up:
+            return
         while self.queue and line is self.line and line.wire.ending is None:
             call, raw = self.queue[0]
             if call.told:
@@ -149,10 +165,10 @@
         self.limiter.counted(call.name, outcome, total, took)
 
     def lost(self, line: Line, why: Ending) -> None:
-        if line is self.line:
-            self.line = None
         left, line.calls = line.calls, deque()
-        waiting, self.queue = self.queue, deque()
+        waiting: deque[tuple[Call, bytes]] = deque()
+        if line is self.line:  # else they wait for another line
+            self.line, waiting, self.queue = None, self.queue, waiting
         for call in [*left, *(call for call, _ in waiting)]:
             if not call.told:
                 self.tell(call, call_outcome(why, call.written))
--- a/loomstand/net/discovery.py
+++ b/loomstand/net/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -45,9 +46,11 @@
         self.wire: Wire | None = None
         self.machine = WatchReceiver(MOST_LINE)
         self.heard_at, self.wait, self.stopped = 0.0, AGAIN[0], False
+        self.timer: asyncio.TimerHandle | None = None  # for the next start
 
     def start(self) -> None:
         if not self.stopped:
+            self.timer = None
             self.machine = WatchReceiver(MOST_LINE)
             self.wire = Wire(self, self.limiter.room, http.MOST_RING)
             self.heard_at = self.limiter.loop.time()
@@ -82,9 +85,17 @@
     def ended(self, why: Ending) -> None:
         self.limiter.endings[f"discovery {why.name.lower()}"] += 1
         if not self.stopped:
-            self.limiter.loop.call_later(self.wait, self.start)
+            self.timer = self.limiter.loop.call_later(self.wait, self.start)
             self.wait = min(AGAIN[1], self.wait * 2)
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Discovery speaks elsewhere from now on."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.wire.drop(Ending.FINISHED)
+        self.where, self.wait = where, AGAIN[0]
+        self.start()
+
     def sweep(self) -> None:
         if self.wire.ending is None and self.limiter.loop.time() - self.heard_at > SILENT:
             self.wire.stop(Ending.STALLED)
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -109,6 +109,18 @@
         """Closes an idle connection: to a server rather than of a client, which may be about to use it."""
         return self.pool.close_idle() or self.front.close_idle(spared)
 
+    def reload(self, config: Config) -> None:
+        """Goes on under another configuration: addresses move, and nothing taken is lost."""
+        old, self.config = self.config, config
+        if config.discovery != old.discovery:
+            self.watch.move(config.discovery)
+        if self.counter and config.counter and config.counter != old.counter:
+            self.counter.move(config.counter)
+        kept = [f for f in ("name", "listen", "limits", "conf") if getattr(config, f) != getattr(old, f)]
+        rest = f"; {', '.join(kept)}: only at the next start" if kept else ""
+        where = f"discovery at {config.discovery}, counter at {config.counter}"
+        self.log(f"read its configuration again: {where}{rest}")
+
     def stop(self) -> None:
         """Serves on, closes what is idle, and ends when nothing is left and nothing more can come."""
         if self.front.stopping:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,15 +5,31 @@
 import asyncio
 import functools
 import json
+import os
 import random
 import re
+import signal
 import socket
 import subprocess
 import sys
 import time
 
+import msgspec
 import pytest
-from helpers import HOST, Caller, Site, chunk, config_file, free_port, member, request, said, until
+from helpers import (
+    HOST,
+    WATCHING,
+    Caller,
+    Peer,
+    Site,
+    chunk,
+    config_file,
+    free_port,
+    member,
+    request,
+    said,
+    until,
+)  # fmt: skip
 
 from loomstand.interface import Count, Outcome
 from loomstand.net.driver import Turns, Untimed, Wire, connect
@@ -366,6 +382,46 @@
         assert set(got) == {Outcome.NO_ANSWER} and 2 <= site.counter.connections <= 6
 
 
+@sockets
+async def test_read_again_discovery_and_counter_move_and_nothing_taken_is_lost():
+    counter = lambda n, head, body: asyncio.sleep(0.05, said(200, b"7"))  # noqa: E731
+    slow = lambda n, head, body: asyncio.sleep(0.2, said(200))  # noqa: E731
+    async with Site(slow, counter=counter) as site, Caller(site.port) as caller:
+        limiter, got = site.limiter, []
+        await until(lambda: site.discovery.open and limiter.counter.line is None)
+        limiter.counted = lambda *said: got.append(said[:3])
+        caller.writer.write(request())
+        limiter.counter.call(Count(1, 1.0, 10_000))
+        await until(lambda: site.counter.heads)
+        agent, keeper = Peer(lambda n, head, body: WATCHING), Peer(counter)
+        places = {"discovery": (HOST, await agent.start()), "counter": (HOST, await keeper.start())}
+        for _ in range(2):  # the second time nothing moves
+            limiter.reload(msgspec.structs.replace(limiter.config, **places))
+        assert limiter.counter.line is None or not limiter.counter.line.up
+        limiter.counter.call(Count(2, 1.0, 10_000))  # and the old line's answer comes while it goes up
+        await until(lambda: len(got) >= 2 and agent.heads and not site.discovery.open)
+        await until(lambda: not site.counter.open)
+        assert sorted(got) == [(1, Outcome.PASSED, 7.0), (2, Outcome.PASSED, 7.0)]
+        assert (len(site.counter.heads), len(keeper.heads)) == (1, 1)
+        assert (await caller.answer())[0] == 200
+        assert len(agent.heads) == 1 and b"index=4 " in agent.heads[0]
+        agent.stop()
+        keeper.stop()
+
+
+@sockets
+async def test_calls_that_wait_for_a_line_go_to_the_counters_new_place():
+    async with Site() as site:
+        got = []
+        site.limiter.counted = lambda *said: got.append(said[1])
+        site.limiter.counter.call(Count(1, 1.0, 10_000))  # its connection is not up yet
+        other = Peer(site.counter.play)
+        site.limiter.counter.move((HOST, await other.start()))
+        await until(lambda: got)
+        assert got == [Outcome.PASSED] and len(other.heads) == 1 and not site.counter.heads
+        other.stop()
+
+
 @sockets
 async def test_the_watch_is_resumed_where_it_broke_and_replaced_when_silent():
     async with Site(passes, passes) as site:
@@ -464,17 +520,25 @@
         assert (await caller.ask(request()))[0] == 200
 
 
-def test_the_program_serves_and_ends_at_sigterm(tmp_path):
+def test_the_program_serves_reads_again_at_sighup_and_ends_at_sigterm(tmp_path):
     file = tmp_path / "limiter.json"
     ports = {"listen": free_port(), "discovery": free_port(), "counter": free_port()}
-    file.write_text(json.dumps(config_file(ports, [member("s0", free_port())])))
+    good = json.dumps(config_file(ports, [member("s0", free_port())]))
+    file.write_text(good)
+    env = os.environ | {"PROXY_DISCOVERY": f"{HOST}:{ports['discovery']}"}
     run = [sys.executable, "-m", "loomstand"]
-    serve = subprocess.Popen([*run, "serve", "--config", file], stderr=subprocess.PIPE, text=True)
+    serve = subprocess.Popen([*run, "serve", "--config", file], stderr=subprocess.PIPE, text=True, env=env)
     try:
         assert "listens" in serve.stderr.readline()
         with socket.create_connection((HOST, ports["listen"]), 5) as sock:
             sock.sendall(b"GET /-/ready HTTP/1.1\r\n\r\n")
             assert sock.recv(100).startswith(b"HTTP/1.1 200 ")
+            for text, says in (("{", "the one held stands"), (file.read_text(), "read its configuration")):
+                file.write_text(text.replace(str(ports["discovery"]), str(other := free_port())))
+                serve.send_signal(signal.SIGHUP)
+                assert says in (line := serve.stderr.readline())
+                file.write_text(good)
+            assert str(other) in line  # the file's word, not the environment's
             serve.terminate()
             assert sock.recv(100) == b""
         assert serve.wait(10) == 0
