Answers as long as the memory allows are passed, not dropped at 64 KiB

Checked with a probe in Link.received: those answers are good, of 157 to 314 KB, with a length that fits. Ruled out: heads too long (all were the length of the body), the counter (silent 15 times). At fault: http.MOST_BODY as the bound of answers (Receiver.frame, servers.Link); every such answer closed its connection and cost another dispatch, or an abort where none was allowed. Now the bound is a 64th of the buffers' memory, a ring grows to a known length at once, and a client's outbound ring takes as much. Answers that claim 3 GB still end at their head.

--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -33,7 +33,7 @@
 
     def __init__(self, front: Front) -> None:
         self.front, self.machine = front, http.RequestReceiver()
-        self.wire = Wire(self, front.limiter.room, http.MOST_RING)
+        self.wire = Wire(self, front.limiter.room, http.MOST_RING, front.limiter.most_answer + http.MOST_HEAD)
         self.req: Req | None = None
         self.made_at = self.read_at = self.busy_at = front.limiter.turns.since
         self.begun_at: float | None = None  # when the message that is coming in began
--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -65,9 +65,9 @@
         "ending", "inbound", "lingering", "off", "outbound", "paused", "reading", "transport", "user",
     )  # fmt: skip
 
-    def __init__(self, user: object, room: Room, most: int) -> None:
+    def __init__(self, user: object, room: Room, most: int, most_out: int = 0) -> None:
         self.user = user
-        self.inbound, self.outbound = Ring(room, most), Ring(room, most)
+        self.inbound, self.outbound = Ring(room, most), Ring(room, most_out or most)
         self.transport: asyncio.Transport | None = None
         self.ending: Ending | None = None
         self.off: Callable[[], None] | None = None  # calls off a connect on its way
--- a/loomstand/net/http.py
+++ b/loomstand/net/http.py
@@ -145,6 +145,7 @@
 
     def counted(self, ring: Ring) -> bool:
         if ring.used < self.left:
+            ring.grow(self.left)  # at once, not by doubling; where there is no room the driver will say so
             return False
         self.body, self.state = ring.take(self.left), None
         return False
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -46,7 +46,9 @@
         self.names = Names([g.name for g in conf.grades], [p.name for p in conf.plans], self.settings)
         # Half of the memory for buffers, the rest for program and module. A tenth of the sockets for clients
         # that are being taken in, as many for those that are turned away.
+        # An answer may be as long as a 64th of that, as answers come that are longer than a body should be.
         self.room = Room(int(limits.memory_mb * (1 << 20) / 2))
+        self.most_answer = max(http.MOST_BODY, self.room.left // 64)
         spare = (limits.sockets - FIXED_SOCKETS) // 10
         self.sockets = limits.sockets - FIXED_SOCKETS - 2 * spare
         within, idle = conf.allowed.connect_timeout / 1000, conf.allowed.idle_close / 1000
--- a/loomstand/net/servers.py
+++ b/loomstand/net/servers.py
@@ -32,8 +32,8 @@
 
     def __init__(self, pool: Pool, address: tuple[str, int]) -> None:
         self.pool, self.address, self.sent = pool, address, False
-        self.machine = http.ResponseReceiver()
-        self.wire = Wire(self, pool.limiter.room, http.MOST_RING)
+        self.machine = http.ResponseReceiver(pool.limiter.most_answer)
+        self.wire = Wire(self, pool.limiter.room, pool.limiter.most_answer + http.MOST_HEAD)
         self.flight: Flight | None = None
         self.idle_at = 0.0
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -85,6 +85,21 @@
         assert not site.limiter.reqs and site.limiter.room.left > 90 << 20
 
 
+@sockets
+async def test_an_answer_as_long_as_the_memory_allows_is_passed_whole_and_a_longer_one_is_not():
+    sizes = [300_000, 300_000, (96 << 20) // 64, (96 << 20) // 64 + 1, 3_000_000_000]
+
+    def play(n, head, body):
+        claims = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\nlong" % sizes[n]
+        return said(200, b"a" * sizes[n]) if n < 4 else claims
+
+    async with Site(play) as site, Caller(site.port) as caller:
+        got = [await caller.ask(request("book", f"r{n}")) for n in range(5)]
+        assert [g[0] for g in got] == [200, 200, 200, 502, 502]
+        assert [len(g[2]) for g in got] == [*sizes[:3], 0, 0] and site.servers[0].connections == 2
+        assert site.limiter.room.left >= (96 << 20) - 4 * FIRST  # and no ring stays large
+
+
 @sockets
 async def test_a_limiter_that_knows_no_server_is_not_ready():
     async with Site() as site, Caller(site.port) as caller:
