Customers and closed connections are forgotten; links belong to a server, not to its address

Ruled out: jobs, reqs, calls, timers, buffers (room steady), doors (38 names). At fault: Account.taken let a ceiling that isn't there fall below 0, so Account.idle never held; accounts of 2.9 KB each (a dict and a deque); Wire.user and Receiver.state referred back; Desk.listed kept a server that went with dispatches out; a customer cache of 16,384. Read beside PROTOCOL and mended: Pool.idle was by address, so a new server there could get an old one's link; a link with bytes or an end unread was used again; links idle through another's silence were; a counter's spoilt answer kept its connection, and any status but 200 meant not added; sets out of range were taken (400 now).

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -1,9 +1,8 @@
 """All decisions of one limiter.
 
-A front (today `loomstand/adapter`) makes one Brain for each limiter and calls `handle(now, note)` for every
-note in order; it gets back the actions to carry out, in order. The types of both are in `interface.py`.
-The parts (Desk, Keeper, an Account a customer, a Server a server) change each other only by notes put into
-inboxes, which `Loop.run` empties; they may read each other's figures.
+A front makes one Brain for each limiter and calls `handle(now, note)` for every note in order; it gets back
+the actions to carry out, in order. The parts (Desk, Keeper, an Account a customer, a Server a server) change
+each other only by notes put into inboxes; they may read each other's figures.
 """
 
 from __future__ import annotations
@@ -70,18 +69,20 @@
 
     def run(self) -> list[api.Action]:
         while self.ready:
-            handler, args = self.ready.popleft().inbox.popleft()
+            handler, args = self.ready.popleft().inbox.pop(0)
             handler(*args)
         done, self.actions = self.actions, []
         return done
 
 
 class Part:
-    """An actor: an inbox and the loop that empties it."""
+    """An actor: an inbox, short and so a list, and the loop that empties it."""
+
+    __slots__ = ("inbox", "loop")
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
-        self.inbox: deque[tuple[Callable[..., None], tuple[object, ...]]] = deque()
+        self.inbox: list[tuple[Callable[..., None], tuple[object, ...]]] = []
 
 
 @dataclass(slots=True, eq=False)
@@ -109,7 +110,12 @@
 
 
 class Account(Part):
-    """A customer's smoothed bucket at this limiter, and its part of the quota."""
+    """A customer's smoothed bucket at this limiter, and its part of the quota. Thousands are held at once."""
+
+    __slots__ = ("asked", "asked_at", "cap", "cap_depth", "cap_rate", "confirmed", "customer", "depth",
+                 "digest", "forgot", "k", "keeper", "last", "length", "level", "meter", "metered_at", "n",
+                 "offset", "others", "out", "own", "pace", "plan", "rate", "split_at", "synced", "tries",
+                 "unsent", "used_at", "whole", "woken")  # fmt: skip
 
     def __init__(self, loop: Loop, keeper: Keeper, note: api.Arrived, plan: api.Plan | None) -> None:
         super().__init__(loop)
@@ -120,11 +126,10 @@
         self.length = max(1, round(self.depth / self.rate)) if self.rate else 0
         self.offset = self.digest % self.length if self.length else 0  # spreads customers' edges
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
-        self.level = self.whole = self.meter = 0.0
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
-        self.k = self.out = 0
-        self.own = self.unsent = self.confirmed = self.others = 0.0
-        self.tries, self.asked = 0, 0.0  # tries not yet told; what is asked of all limiters together
+        self.k = self.out = self.tries = 0  # tries not yet told
+        self.level = self.whole = self.meter = self.own = self.unsent = self.confirmed = self.others = 0.0
+        self.asked = 0.0  # what is asked of all limiters together
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
         # A limiter's share of the ceiling is empty when the limiter starts, as it may have spent it before.
@@ -161,7 +166,6 @@
         elif not self.rate or self.lets(units, job.note.retry):
             self.loop.post(desk.granted, job)
         else:
-            # half an emission interval of the quota, and no use of others' waits
             if self.loop.now - self.asked_at > 0.5 / self.rate and not self.keeper.due:
                 self.loop.post(self.keeper.want, self)
             why = "full count" if self.loop.now - self.synced <= self.length else "old total"
@@ -180,7 +184,7 @@
         return self.level + units <= part + 1e-9
 
     def taken(self, units: float) -> None:
-        self.out, self.cap = self.out + 1, self.cap - units
+        self.out, self.cap = self.out + 1, self.cap - units if self.cap_rate else 0.0
         if not self.rate:
             return
         self.level += units
@@ -206,10 +210,10 @@
         step, self.unsent, self.tries = self.unsent + TRY * min(99, self.tries), 0.0, 0
         self.loop.post(self.keeper.call, self, k, step)
 
-    def idle(self) -> bool:
-        """Whether nothing is left to remember after some intervals, not even spent units of the ceiling."""
-        gone = self.loop.now - self.used_at
-        return not self.out and gone > 10 * self.length and self.cap + self.cap_rate * gone >= self.cap_depth
+    def idle(self, many: bool) -> bool:
+        """Whether nothing spent is left to remember, and for long; where many are held, at once."""
+        gone, least = self.loop.now - self.used_at, (1 if many else 10) * self.length
+        return not self.out and gone > least and self.cap + self.cap_rate * gone >= self.cap_depth
 
     def read(self) -> None:
         """Reads the finished total of the last interval."""
@@ -245,14 +249,12 @@
             own, sure, known, forgot = self.last
         else:
             return
-        # A total below what surely was added means that the counter forgot: it must not swell a part.
-        if forgot or total < sure - 1e-6 or total < known - 1e-6:
+        if forgot or total < sure - 1e-6 or total < known - 1e-6:  # the counter forgot: no part may swell
             self.forgot = self.forgot or k == self.k
             return
         others = max(known, total - own)
         self.whole = min(self.depth, self.whole + others - known)
-        # Well under quota all that is unused may be used here. Else the parts decide, and a limiter takes no
-        # more than its even share of what is unused: else all limiters would take the same unit at once.
+        # Well under quota all that is unused may be used here, else an even share: all would take one unit.
         mine = self.depth - (self.depth - self.whole) / self.n
         self.level = self.whole if self.asked <= 0.8 * self.rate else max(self.whole, min(self.level, mine))
         self.synced = self.loop.now
@@ -277,11 +279,8 @@
 
 
 class Keeper(Part):
-    """Makes the calls to the counter, as often as this limiter's share of it bears.
-
-    Guards against a counter that is crowded, slow, silent or refusing: all show as calls that fail or take
-    long, and all limiters slow down together. Where calls are lost by chance, use is added a little later.
-    """
+    """Makes the calls to the counter, as often as this limiter's share of it bears: one that is crowded,
+    slow, silent or refusing shows by calls that fail or take long, and all limiters slow down together."""
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
@@ -408,13 +407,11 @@
         self.by_tag: dict[int, Account] = {}
         self.servers: dict[int, Server] = {}
         self.jobs: dict[int, Job] = {}
-        self.times = Histogram(400)
-        self.best = 1e-9
+        self.times, self.best = Histogram(400), 1e-9
         self.tally, self.told = {}, loop.now
         self.ring: list[Server] = []  # live servers in an order that all limiters share
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
-        self.off: list[list[Server]] = []  # and those among them that are set aside
-        self.near_at = NEVER
+        self.off, self.near_at = [], NEVER  # and those among them that are set aside
         # dispatches out at once over all servers: seven a server by all limiters at first
         self.window, self.out, self.flow, self.flow_at = 0.0, 0, 0.0, loop.now
 
@@ -436,9 +433,8 @@
         self.window = self.window or 7 * len(self.ring) / max(1, self.loop.settings.limiters)
 
     def look(self) -> None:
-        """Chooses the servers to use: a stretch of the ring, the same few for long, so that outcomes tell.
-        Sixteen limiters a server spread the load; eight servers leave a choice. Those set aside (silent, or
-        failing the frontend) are passed over, unless it is most: a trouble common to many is not theirs."""
+        """The servers to use: a stretch of the ring, the same few for long, so that outcomes tell. Sixteen
+        limiters a server spread the load, eight leave a choice. Those set aside are out unless it is most."""
         s, many = self.loop.settings, len(self.ring)
         reach = min(many, max(8, 16 * many // max(1, s.limiters)))
         start = s.me * many // max(1, s.limiters)
@@ -456,8 +452,8 @@
         if account is None:
             account = Account(self.loop, self.keeper, note, plan)
             self.accounts[note.customer] = self.by_tag[note.digest] = account
-        eldest = self.accounts.pop(next(iter(self.accounts)))  # one is looked at for each req
-        if eldest is account or not eldest.idle():
+        eldest = self.accounts.pop(next(iter(self.accounts)))  # one is looked at for each req; many fill a MB
+        if eldest is account or not eldest.idle(len(self.accounts) > 1000):
             self.accounts[eldest.customer] = eldest
         else:
             self.by_tag.pop(eldest.digest, None)
@@ -570,6 +566,8 @@
             return
         row = self.rows[job.note.frontend]
         self.loop.post(srv.ended, note, job.note.frontend)
+        if srv.entry.phase is Phase.GONE and srv.out == 1:
+            del self.servers[srv.srv]
         job.ended += 1
         self.out -= 1
         self.judge(note, row.target)
@@ -629,10 +627,8 @@
         self.loop = Loop(settings, seed, now)
         self.keeper = Keeper(self.loop)
         self.desk = desk = Desk(self.loop, self.keeper)
-        self.handlers = {
-            api.Listed: desk.listed, api.Arrived: desk.arrived, api.Ended: desk.ended, api.Woke: desk.woke,
-            api.Vanished: desk.vanished, api.Counted: self.keeper.counted,
-        }
+        self.handlers = {api.Listed: desk.listed, api.Arrived: desk.arrived, api.Ended: desk.ended,
+                         api.Woke: desk.woke, api.Vanished: desk.vanished, api.Counted: self.keeper.counted}
 
     def handle(self, now: int, note: api.Note) -> list[api.Action]:
         self.loop.now = max(self.loop.now, now)
--- a/loomstand/door.py
+++ b/loomstand/door.py
@@ -26,19 +26,24 @@
 
 
 class Door:
-    """Hands out small indices for names, in order of sight."""
+    """Hands out small indices for names, in order of sight; one that was forgotten gets another."""
 
     def __init__(self, names: list[str] | None = None) -> None:
-        self.names: list[str] = list(names or [])
-        self.index = {name: n for n, name in enumerate(self.names)}
+        self.names = dict(enumerate(names or []))
+        self.index = {name: n for n, name in self.names.items()}
+        self.next = len(self.names)
 
     def at(self, name: str) -> int:
         n = self.index.get(name)
         if n is None:
-            n = self.index[name] = len(self.names)
-            self.names.append(name)
+            n = self.index[name] = self.next
+            self.names[n] = name
+            self.next += 1
         return n
 
+    def forget(self, n: int) -> None:
+        self.index.pop(self.names.pop(n), None)
+
     def known(self, name: str, field: str) -> int:
         if name not in self.index:
             raise Unknown(f"field '{field}': '{name}' is not in the settings or lists")
--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -4,6 +4,7 @@
 
 import re
 from collections import deque
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from loomstand.interface import Count, Outcome
@@ -52,9 +53,9 @@
                     raise http.Malformed(502, "an answer to no call")
                 status, body, close = self.machine.status, self.machine.body, self.machine.close
                 self.machine.reset()
-                self.keeper.answered(self.calls.popleft(), status, body)
-                if close:
-                    self.wire.stop(Ending.FINISHED)
+                fit = self.keeper.answered(self.calls.popleft(), status, body)
+                if close or not fit or (self.wire.inbound.used and not self.calls):
+                    self.wire.stop(Ending.FINISHED if close else Ending.MALFORMED)
             if self.keeper.queue:
                 self.keeper.flush()
         except http.Malformed:
@@ -147,13 +148,13 @@
             line.wire.stop(Ending.STALLED)
         self.arm()
 
-    def answered(self, call: Call, status: int, body: bytes) -> None:
-        if call.told:
-            return
-        if status == 200 and not TOTAL(body):
-            self.tell(call, Outcome.NO_ANSWER)
-        else:
-            self.tell(call, called(status), float(body) if status == 200 else 0.0)
+    def answered(self, call: Call, status: int, body: bytes) -> bool:
+        """Whether this is an answer that the counter gives: after any other its connection is of no use."""
+        total = float(body) if status == 200 and TOTAL(body) else 0.0
+        fit = isfinite(total) and (TOTAL(body) if status == 200 else called(status) is Outcome.TURNED_AWAY)
+        if not call.told:
+            self.tell(call, called(status) if fit else Outcome.NO_ANSWER, total if fit else 0.0)
+        return bool(fit)
 
     def tell(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         call.told = True
--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import errno
-import fcntl
+import select
 import selectors
 import socket
-import termios
 import time
 from collections.abc import Callable
 
@@ -102,6 +101,7 @@
         self.stop(Ending.RESET)
         self.inbound.close()
         self.outbound.close()
+        self.user = None  # it refers back: what is closed goes at once, not when the collector comes
 
     def pause_writing(self) -> None:
         self.paused = True
@@ -132,10 +132,10 @@
 
     @property
     def unread(self) -> bool:
-        """Whether bytes wait in the system."""
-        left = bytearray(4)
-        fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, left)
-        return any(left)
+        """Whether bytes, or an end, wait in the system."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def stop(self, why: Ending) -> None:
         """Ends the connection at once."""
--- a/loomstand/net/endings.py
+++ b/loomstand/net/endings.py
@@ -51,5 +51,7 @@
 
 
 def called(status: int) -> Outcome:
-    """What the counter's whole answer means to a call: all but a total say that nothing was added."""
-    return Outcome.PASSED if status == 200 else Outcome.TURNED_AWAY
+    """What the counter's whole answer means to a call: some say that nothing was added, others nothing."""
+    if status == 200:
+        return Outcome.PASSED
+    return Outcome.TURNED_AWAY if status in (400, 404, 503) else Outcome.NO_ANSWER
--- a/loomstand/net/http.py
+++ b/loomstand/net/http.py
@@ -64,7 +64,8 @@
 
 
 class Receiver:
-    """Takes one message after another from a ring. `step` goes as far as the bytes do."""
+    """Takes one message after another from a ring. `step` goes as far as the bytes do. Its state is a plain
+    function: a bound one would refer back, and what is closed would wait for the collector."""
 
     __slots__ = ("body", "close", "fields", "left", "most", "searched", "state")
     read = staticmethod(read_head)
@@ -75,18 +76,18 @@
 
     def reset(self) -> None:
         """Ready for the next message."""
-        self.state, self.searched = self.head, 0
+        self.state, self.searched = Receiver.head, 0
         self.fields: dict[bytes, bytes] = {}
         self.body, self.left, self.close = b"", 0, False
 
     @property
     def begun(self) -> bool:
         """Whether the head of a message has come."""
-        return self.state != self.head
+        return self.state != Receiver.head
 
     def step(self, ring: Ring) -> bool:
         """Whether a message is whole."""
-        while self.state is not None and self.state(ring):
+        while self.state is not None and self.state(self, ring):
             pass
         return self.state is None
 
@@ -132,14 +133,14 @@
                 raise Malformed(400, "a length and a coding")
             if coding.lower() != b"chunked":
                 raise Malformed(501, "unknown coding")
-            self.body, self.state = bytearray(), self.chunk_size
+            self.body, self.state = bytearray(), Receiver.chunk_size
         elif length is not None:
             if not number(length):
                 raise Malformed(400, "bad length")
             self.left = int(length)
             if self.left > self.most:
                 raise Malformed(413, "body too long")
-            self.state = self.counted if self.left else None
+            self.state = Receiver.counted if self.left else None
         else:
             self.unframed()
 
@@ -160,7 +161,7 @@
         self.left = int(size[1], 16)
         if len(self.body) + self.left > self.most:
             raise Malformed(413, "body too long")
-        self.state = self.chunk if self.left else self.trailer
+        self.state = Receiver.chunk if self.left else Receiver.trailer
         return True
 
     def chunk(self, ring: Ring) -> bool:
@@ -169,7 +170,7 @@
         self.left -= len(piece)
         if self.left:
             return False
-        self.state = self.chunk_end
+        self.state = Receiver.chunk_end
         return True
 
     def chunk_end(self, ring: Ring) -> bool:
@@ -178,7 +179,7 @@
             return False
         if line:
             raise Malformed(400, "chunk longer than its size")
-        self.state = self.chunk_size
+        self.state = Receiver.chunk_size
         return True
 
     def trailer(self, ring: Ring) -> bool:
@@ -235,7 +236,7 @@
     def frame(self) -> None:
         super().frame()
         if self.status < 200:  # an interim answer: the real one follows
-            self.state = self.head
+            self.state = Receiver.head
 
     def unframed(self) -> None:
         # It would end with the connection: a cut one could not be told from a whole one.
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -150,15 +150,18 @@
     def listed(self, list_: Members) -> None:
         if list_.complete:
             named = {m.id for m in list_.members}
-            for name, srv in self.servers.index.items():
+            for name, srv in list(self.servers.index.items()):
                 if name not in named:
                     self.pool.told(srv, None)
+                    self.servers.forget(srv)
         entries = []
         for m in list_.members:
             srv, phase = self.servers.at(m.id), PHASES[m.phase]
             self.pool.told(srv, None if phase is i.Phase.GONE else address(m.host_port, "host_port"))
             hall, kind = self.halls.at(m.locality), self.kinds.at(m.flavor)
             entries.append(i.Entry(srv, phase, hall, kind, m.cell, m.size, up(m.up_since_ms)))
+            if phase is i.Phase.GONE:
+                self.servers.forget(srv)
         self.note(i.Listed(tuple(entries), list_.complete))
         self.able = not self.front.stopping
 
--- a/loomstand/net/req.py
+++ b/loomstand/net/req.py
@@ -30,17 +30,20 @@
         self.frontends = {name.encode(): n for n, name in enumerate(frontends)}
         self.plans = {name.encode(): n for n, name in enumerate(plans)}
         self.told = told
-        # one line of X-Call-Terms a customer at most, and customers come again
-        self.terms, self.customer = lru_cache(1 << 12)(self.terms), lru_cache(1 << 14)(self.customer)
+        # few lines of X-Call-Terms differ; some customers come again soon, others are not kept for long
+        self.terms, self.customer = lru_cache(1 << 8)(self.terms), lru_cache(1 << 10)(self.customer)
 
     def terms(self, raw: bytes) -> tuple[float, int]:
         """Units and the size of the customer's set."""
         pairs = dict(part.strip().partition(b"=")[::2] for part in raw.split(b","))
-        units, spread = pairs.get(b"units", b"1"), pairs.get(b"spread", b"0")
-        if not DECIMAL(units) or not number(spread):
+        units = pairs.get(b"units", b"1")
+        spread, first = pairs.get(b"spread", b"0"), pairs.get(b"first", b"0")
+        if not DECIMAL(units) or not number(spread) or not number(first):
             raise Malformed(400, "bad X-Call-Terms")
-        if float(units) > self.told.max_units:
-            raise Malformed(400, "X-Call-Terms: more units than the settings allow")
+        if not 0 < float(units) <= self.told.max_units:
+            raise Malformed(400, "X-Call-Terms: units out of the settings' range")
+        if int(spread) > self.told.limiters or int(first) >= self.told.limiters:
+            raise Malformed(400, "X-Call-Terms: a set out of range")
         return float(units), int(spread)
 
     def customer(self, account: bytes) -> tuple[int, int]:
--- a/loomstand/net/servers.py
+++ b/loomstand/net/servers.py
@@ -28,10 +28,10 @@
 class Link:
     """A connection to a server: one dispatch at a time."""
 
-    __slots__ = ("address", "flight", "idle_at", "machine", "pool", "sent", "wire")
+    __slots__ = ("flight", "idle_at", "machine", "pool", "sent", "srv", "wire")
 
-    def __init__(self, pool: Pool, address: tuple[str, int]) -> None:
-        self.pool, self.address, self.sent = pool, address, False
+    def __init__(self, pool: Pool, srv: int) -> None:
+        self.pool, self.srv, self.sent = pool, srv, False
         self.machine = http.ResponseReceiver(pool.limiter.most_answer)
         self.wire = Wire(self, pool.limiter.room, pool.limiter.most_answer + http.MOST_HEAD)
         self.flight: Flight | None = None
@@ -86,7 +86,7 @@
         # can't be reached within the time for a connect is taken for gone, so no req travels longer.
         self.idle_most = max(0.0, idle_close - connect_timeout)
         self.addresses: dict[int, tuple[str, int]] = {}
-        self.idle: dict[tuple[str, int], list[Link]] = {}  # the last used last
+        self.idle: dict[int, list[Link]] = {}  # by server, as another may come to its address; last used last
         self.links: dict[Link, None] = {}
 
     def told(self, srv: int, address: tuple[str, int] | None) -> None:
@@ -97,7 +97,7 @@
         else:
             self.addresses[srv] = address
         if old is not None and old != address:
-            for link in self.idle.pop(old, []):
+            for link in list(self.idle.get(srv, ())):
                 self.shut(link, Ending.IDLE)
 
     def send(self, flight: Flight) -> None:
@@ -105,10 +105,10 @@
         if address is None:
             self.limiter.loop.call_soon(self.limiter.came, flight, Outcome.NOT_SENT)
             return
-        now, idle = self.limiter.loop.time(), self.idle.get(address)
+        now, idle = self.limiter.loop.time(), self.idle.get(flight.srv)
         while idle:
             link = idle.pop()
-            if now - link.idle_at < self.idle_most:
+            if now - link.idle_at < self.idle_most and not link.wire.unread:
                 self.board(link, flight)
                 link.write()
                 return
@@ -116,7 +116,7 @@
         if self.limiter.spare_sockets() <= 0 and not self.limiter.make_room():
             self.limiter.loop.call_soon(self.limiter.came, flight, outcome(Ending.NO_ROOM, False))
             return
-        link = Link(self, address)
+        link = Link(self, flight.srv)
         self.links[link] = None
         self.board(link, flight)
         connect(self.limiter.loop, link.wire, address, self.connect_timeout)
@@ -132,14 +132,22 @@
         return old is not None
 
     def give_up(self, flight: Flight, why: Ending) -> None:
-        """Stops waiting: its connection is closed."""
-        link = flight.link
+        """Stops waiting: its connection is closed, and those on which nothing came since it was sent: the
+        machine may be gone, which a new connect proves, while what is written to an old one may have run."""
+        link, limiter = flight.link, self.limiter
         if link is not None and link.flight is flight:
+            if why is Ending.EXPIRED and link.sent:
+                sent_at = limiter.loop.time() - (limiter.now() - flight.sent_at) / 10_000
+                for other in [v for v in self.idle.get(flight.srv, ()) if v.idle_at < sent_at]:
+                    self.shut(other, Ending.IDLE)
             link.wire.stop(why)
 
     def keep(self, link: Link) -> None:
+        if link.srv not in self.addresses:  # gone meanwhile
+            self.shut(link, Ending.IDLE)
+            return
         link.idle_at = self.limiter.loop.time()
-        self.idle.setdefault(link.address, []).append(link)
+        self.idle.setdefault(link.srv, []).append(link)
 
     def shut(self, link: Link, why: Ending) -> None:
         link.wire.drop(why)
@@ -147,11 +155,11 @@
 
     def lost(self, link: Link) -> None:
         self.links.pop(link, None)
-        idle = self.idle.get(link.address)
+        idle = self.idle.get(link.srv)
         if idle and link in idle:
             idle.remove(link)
         if not idle:
-            self.idle.pop(link.address, None)
+            self.idle.pop(link.srv, None)
 
     def sweep(self) -> None:
         """Closes what has been idle too long to be used again."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import gc
 import json
 import os
 import random
@@ -34,7 +35,8 @@
 from loomstand.interface import Count, Outcome
 from loomstand.net.driver import Turns, Untimed, Wire, connect
 from loomstand.net.endings import Ending
-from loomstand.net.ring import FIRST
+from loomstand.net.http import Receiver
+from loomstand.net.ring import FIRST, Ring
 
 
 def sockets(test):
@@ -175,6 +177,49 @@
         assert site.servers[0].connections == 2
 
 
+@sockets
+async def test_a_new_server_at_an_old_address_gets_connections_of_its_own():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        await until(lambda: site.discovery.open)
+        await caller.ask(request())
+        old, new = site.members[0], site.members[0] | {"id": "s9"}
+        site.tell(revision=5, complete=False, members=[old | {"phase": "leaving"}, new])
+        await until(lambda: len(site.limiter.pool.addresses) == 2)
+        assert (await caller.ask(request(id_="r2")))[0] == 200 and site.servers[0].connections == 2
+        site.tell(revision=6, complete=False, members=[old | {"phase": "left"}])
+        await until(lambda: list(site.limiter.servers.index) == ["s9"])  # nothing is kept of the other
+        assert list(site.limiter.pool.links) == [v for vs in site.limiter.pool.idle.values() for v in vs]
+        assert (await caller.ask(request(id_="r3")))[0] == 200 and site.servers[0].connections == 2
+
+
+@sockets
+async def test_no_connection_is_used_again_on_which_something_waits():
+    async with Site(passes) as site, Caller(site.port) as caller:
+        await caller.ask(request(id_="a"))
+        pool = site.limiter.pool
+        send = pool.send
+
+        def late(flight):
+            for writer in list(site.servers[0].open)[:1]:  # a second copy comes, and nobody has read it yet
+                writer.write(said(200, b"another's"))
+            time.sleep(0.01)
+            send(flight)
+
+        pool.send = late
+        assert (await caller.ask(request(id_="b")))[::2] == (200, b"yes")
+        assert site.servers[0].connections == 2
+
+
+@sockets
+async def test_after_silence_what_was_idle_all_the_while_is_not_used_again():
+    play = lambda n, head, body: asyncio.sleep(0.1 if n < 2 else 3, said(200))  # noqa: E731
+    async with Site(play) as site, Caller(site.port) as one, Caller(site.port) as two:
+        await asyncio.gather(one.ask(request(id_="r1")), two.ask(request(id_="r2")))
+        assert len(site.limiter.pool.links) == 2
+        assert (await one.ask(request("book", "r3", timeout=200)))[0] == 502
+        assert not site.limiter.pool.links
+
+
 @sockets
 async def test_out_of_sockets_is_an_outcome_not_held_against_the_server():
     async with Site(silent) as site, Caller(site.port) as one, Caller(site.port) as two:
@@ -211,6 +256,9 @@
         (b"GET /nothing HTTP/1.1\r\n\r\n", 400, False),
         (request().replace(b"units=1", b"units=nan"), 400, False),
         (request().replace(b"units=1", b"units=99"), 400, False),
+        (request().replace(b"units=1", b"units=0"), 400, False),
+        (request().replace(b"spread=1", b"spread=999999999"), 400, False),
+        (request().replace(b"first=0", b"first=1"), 400, False),
         (request().replace(b"basic", b"golden"), 400, False),
         (request("odd"), 404, False),
         (request().replace(b"account=0", b"account=x"), 400, False),
@@ -308,6 +356,23 @@
             assert len(site.limiter.front.clients) <= 3
 
 
+@sockets
+async def test_what_is_closed_goes_at_once_without_the_collector():
+    async with Site(lambda n, head, body: None if n % 2 else said(200)) as site:
+        gc.collect()
+        gc.disable()
+        held = lambda: sum(isinstance(o, Wire | Receiver | Ring) for o in gc.get_objects())  # noqa: E731
+        before = held()
+        try:
+            for n in range(6):
+                async with Caller(site.port) as caller:
+                    assert (await caller.ask(request("book", f"r{n}")))[0] in (200, 502)
+            await until(lambda: not site.limiter.front.clients and not site.limiter.pool.links)
+            await until(lambda: held() == before)
+        finally:
+            gc.enable()
+
+
 @sockets
 async def test_no_connection_is_closed_under_a_req_that_waits_to_be_read():
     async with Site(passes) as site, Caller(site.port) as caller:
@@ -371,6 +436,21 @@
         assert site.counter.heads[3].startswith(b"POST /counters/7?by=2.5&expire_ms=1000 ")
 
 
+@pytest.mark.parametrize(
+    "spoilt", [said(200, b"none"), said(200, b"1e999"), said(500), said(200, b"3") + b"noise"]
+)
+@sockets
+async def test_a_counter_that_answers_spoilt_may_have_added_and_its_connection_is_done_with(spoilt):
+    async with Site(counter=lambda n, head, body: said(200, b"4") if n else spoilt) as site:
+        got = []
+        site.limiter.counted = lambda *said: got.append(said[1:3])
+        for n in range(2):
+            site.limiter.counter.call(Count(n, 1.0, 10_000))
+            await until(lambda: len(got) == n + 1)  # noqa: B023
+        first = (Outcome.PASSED, 3.0) if b"noise" in spoilt else (Outcome.NO_ANSWER, 0.0)
+        assert got == [first, (Outcome.PASSED, 4.0)] and site.counter.connections == 2
+
+
 @sockets
 async def test_a_counter_that_breaks_may_have_added_and_one_that_refuses_has_not():
     async with Site(counter=lambda n, head, body: None) as site:
@@ -453,7 +533,7 @@
         await until(lambda: len(discovery.heads) == 3)
         await until(lambda: discovery.open)
         site.tell(revision=7, complete=True, members=[site.members[0]])
-        await until(lambda: list(limiter.pool.addresses) == [0])
+        await until(lambda: list(limiter.servers.index) == ["s0"] and len(limiter.pool.addresses) == 1)
 
 
 @sockets
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from dataclasses import replace
 
 import pytest
@@ -9,7 +10,7 @@
 
 from loomstand import interface as api
 from loomstand.brain import Account, Brain, Keeper, Loop
-from loomstand.interface import Outcome
+from loomstand.interface import Outcome, Phase
 
 
 def account(rate: float, burst: float, sets: int = 1, has_counter: bool = False) -> Account:
@@ -230,3 +231,33 @@
     assert answered == 200
     brain.handle(now, api.Listed((), True))
     assert pick(brain.handle(now, arrival(999, now)), api.Deny)
+
+
+def test_a_server_that_goes_with_a_dispatch_out_is_forgotten_at_its_end():
+    brain = alone(servers=1)
+    assert pick(brain.handle(10, arrival(1, 10)), api.Dispatch)
+    brain.handle(20, api.Listed((entry(0, Phase.GONE),), False))
+    assert list(brain.desk.servers) == [0]
+    brain.handle(30, api.Ended(1, 0, 0, Outcome.PASSED, 20, True, 0, 0.0))
+    assert not brain.desk.servers and not brain.desk.jobs
+
+
+def test_a_customer_that_came_once_takes_little_memory():
+    brain = alone()
+    brain.handle(1, arrival(0, 1, plan=1, customer=9999))
+    tracemalloc.start()
+    for n in range(1, 501):
+        brain.handle(1, arrival(n, 1, plan=1, customer=n))  # denied by the ceiling: only the account stays
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(brain.desk.accounts) == 501 and held < 1300 * 500  # 2,900 with a dict and a deque each
+
+
+def test_of_many_customers_that_came_once_few_are_held():
+    brain, slow = alone(), api.Plan(0.05, 1.0, 0, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0)  # a refresh interval of 20 s
+    brain.loop.settings = replace(brain.loop.settings, plans=(slow,))
+    for n in range(4000):  # 50 a second for 80 s
+        brain.handle(n * 200, arrival(n, n * 200, plan=0, customer=n))
+        brain.handle(n * 200 + 50, api.Ended(n, 0, 0, Outcome.PASSED, 50, True, 0, 0.0))
+    assert len(brain.desk.accounts) == len(brain.desk.by_tag) < 2500
+    assert len(brain.desk.accounts) > 1000
