Reqs turned away while answers are quick leave the window; their server gets fewer

Seen: churn, from 50 s: 617 dispatches of 1,637 in five seconds turned away, windows at their floor (12.5), 245 denials for full servers a limiter in five seconds while answers took 55 ms. Ruled out: cold servers (tables of the list), the counter (0 to 6 resets), memory. At fault: Server.ended took no note of a req turned away, so such a server looked idle and was picked first (Desk.pick); Desk.judge cut the window by a whole dispatch for each. Now a server's share of reqs turned away, by frontend, makes it dearer and halves every two seconds; the window's cut is weighed by how slow answers are, (mean over 0.3 of the target) squared at most 1.

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -346,7 +346,7 @@
         self.times = Histogram(32)  # some ten seconds of one server's answers
         # the last few outcomes, by frontend; in the last row whether there was any sign of life
         self.recent = [deque[bool](maxlen=4) for _ in range(len(self.loop.settings.frontends) + 1)]
-        self.failed_at = NEVER
+        self.failed_at, self.full = NEVER, [0.0] * len(self.recent)  # by frontend: what share it turns away
         # by chance, so that limiters which hear of it together don't reach their first dispatch together
         self.cold_left, self.cold_at = self.loop.chance(), self.loop.now
         self.trickle = TRICKLE
@@ -385,6 +385,7 @@
     def ended(self, note: api.Ended, front: int) -> None:
         self.out -= 1
         now, outcome = self.loop.now, note.outcome
+        self.full[front] += 0.2 * ((outcome is Outcome.TURNED_AWAY) - self.full[front])
         if outcome in (Outcome.NOT_SENT, Outcome.CALLED_OFF, Outcome.TURNED_AWAY):
             return
         good = outcome is Outcome.PASSED
@@ -440,6 +441,8 @@
         start = s.me * many // max(1, s.limiters)
         stretch = [self.ring[(start + n) % many] for n in range(min(many, 3 * reach))]
         self.near, self.off, self.near_at = [], [], self.loop.now
+        for v in stretch:
+            v.full = [f / 2 for f in v.full]  # one that is passed over shows nothing new
         for front in range(len(self.rows)):
             well = [v for v in stretch if not v.aside(front)][:reach]
             few = len(well) * 3 < reach
@@ -521,7 +524,7 @@
                 continue
             cost = v.times.mean(mean, 3) / v.warmth() * (1 + v.out) * (100 if v.srv in tried else 1)
             cost *= 1.05 if v.entry.hall != s.hall else 1.0  # it decides between equals
-            cost *= (-log(1 - self.loop.chance())) ** blur
+            cost *= (-log(1 - self.loop.chance())) ** blur * (1 + 9 * v.full[front])  # it looks idle, is none
             if (best is None or cost < least) and self.cold_ok(v):
                 best, least = v, cost
         return best
@@ -586,8 +589,10 @@
 
     def judge(self, note: api.Ended, target: int) -> None:
         """The window aims at a short queue over all servers, known from all answers together. Guards against
-        overload of any cause; silence is a single server's more often, and counts less."""
-        bad = {Outcome.TURNED_AWAY: 1.0, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
+        overload of any cause; silence is a single server's more often, and counts less; so does a req turned
+        away while answers are quick: its server drains or is throttled, and a smaller window is no help."""
+        slow = min(1.0, (self.times.mean(target, 1) / (0.3 * target)) ** 2)
+        bad = {Outcome.TURNED_AWAY: slow, Outcome.NO_ANSWER: 0.3, Outcome.PASSED: note.took > 0.8 * target}
         self.passed(note.outcome is Outcome.PASSED)
         if cut := bad.get(note.outcome, 0.0):
             least = 5 * len(self.ring) / max(1, self.loop.settings.limiters)  # five a server by all
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -233,6 +233,27 @@
     assert pick(brain.handle(now, arrival(999, now)), api.Deny)
 
 
+def test_a_server_that_turns_away_quickly_gets_less_and_does_not_shrink_the_window():
+    # print-desk-main, churn: one throttled server drew most dispatches as it looked idle, and the window fell
+    brain, sends, due = alone(servers=4, limiters=1), [0] * 4, []
+    desk, before = brain.desk, brain.desk.window
+
+    def done(now, acts, dispatch=0):
+        for sent in pick(acts, api.Dispatch):
+            sends[sent.srv] += 1
+            how, took = (Outcome.TURNED_AWAY, 5) if sent.srv == 2 else (Outcome.PASSED, 900)
+            ended = api.Ended(sent.req, dispatch, sent.srv, how, took, how is Outcome.PASSED, 0, 0.0)
+            due.append((now + took, sent.req, ended))
+
+    for now in range(0, 60_000, 50):  # eighteen out at once
+        done(now, brain.handle(now, arrival(now, now)))
+        for item in sorted(d for d in due if d[0] <= now + 50):
+            due.remove(item)
+            done(item[0], brain.handle(*item[::2]), item[2].dispatch + 1)
+    assert sum(sends) >= 1200 and sends[2] < 0.5 * min(sends[0], sends[1], sends[3])
+    assert desk.window >= 0.9 * before
+
+
 def test_a_server_that_goes_with_a_dispatch_out_is_forgotten_at_its_end():
     brain = alone(servers=1)
     assert pick(brain.handle(10, arrival(1, 10)), api.Dispatch)
