--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -46,7 +46,7 @@
 
     def received(self) -> None:
         self.heard_at = self.keeper.limiter.loop.time()
-        self.keeper.patience = self.keeper.connect_timeout
+        self.keeper.patience = self.keeper.timeout
         try:
             while self.wire.ending is None and self.machine.step(self.wire.inbound):
                 if not self.calls:
@@ -74,7 +74,8 @@
     ) -> None:
         self.limiter, self.address = limiter, address
         self.timeout, self.connect_timeout = timeout, connect_timeout
-        self.patience = connect_timeout  # with a silent connection; doubled each time in a row
+        # with a silent connection; doubled each time in a row, up to four times what a connect may take
+        self.patience = timeout
         self.line: Line | None = None
         self.queue: deque[tuple[Call, bytes]] = deque()  # calls for a connection that is coming up
         self.open: deque[Call] = deque()  # all calls without an outcome, the oldest first
@@ -101,7 +102,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """The counter listens elsewhere from now on; what the old one was sent is still waited for."""
         old, self.line, self.address = self.line, None, address
-        self.patience = self.connect_timeout
+        self.patience = self.timeout
         if old is not None and old.calls:
             self.limiter.loop.call_later(self.timeout, old.wire.stop, Ending.FINISHED)
         elif old is not None:
@@ -141,10 +142,10 @@
         while self.open and now - self.open[0].at >= self.timeout - 1e-4:
             self.tell(self.open[0], call_outcome(Ending.EXPIRED, self.open[0].written))
         line = self.line
-        if line is not None and line.up and line.calls and now - line.heard_at > self.patience:
-            # nothing comes any more; a new connection shows whether the machine is there, and a machine that
-            # only stands still would hold the old ones too
-            self.patience *= 2
+        if line is not None and line.up and line.calls and now - line.heard_at > self.patience - 1e-3:
+            # nothing comes any more, or an answer never ends: a new connection shows whether the machine is there,
+            # and a machine that only stands still would hold the old ones too
+            self.patience = min(2 * self.patience, 4 * self.connect_timeout)
             line.wire.stop(Ending.STALLED)
         self.arm()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -424,6 +424,7 @@
 
     async with Site(counter=play) as site:
         got = []
+        site.limiter.counter.patience = 1.0
         site.limiter.counted = lambda *said: got.append(said[:3])
         for n in range(3):
             site.limiter.counter.call(Count(n, 1.0, 10_000))
@@ -451,6 +452,18 @@
         assert got == [first, (Outcome.PASSED, 4.0)] and site.counter.connections == 2
 
 
+@sockets
+async def test_a_call_after_an_answer_that_never_ends_goes_over_another_connection():
+    endless = b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n1"
+    async with Site(counter=lambda n, head, body: said(200, b"4") if n else endless) as site:
+        got = []
+        site.limiter.counted = lambda *said: got.append(said[1:3])
+        for n in range(2):
+            site.limiter.counter.call(Count(n, 1.0, 10_000))
+            await until(lambda: len(got) == n + 1)  # noqa: B023
+        assert got == [(Outcome.NO_ANSWER, 0.0), (Outcome.PASSED, 4.0)]
+
+
 @sockets
 async def test_a_counter_that_breaks_may_have_added_and_one_that_refuses_has_not():
     async with Site(counter=lambda n, head, body: None) as site:
