--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -143,8 +143,8 @@
             self.tell(self.open[0], call_outcome(Ending.EXPIRED, self.open[0].written))
         line = self.line
         if line is not None and line.up and line.calls and now - line.heard_at > self.patience - 1e-3:
-            # nothing comes any more, or an answer never ends: a new connection shows whether the machine is there,
-            # and a machine that only stands still would hold the old ones too
+            # nothing comes any more, or an answer never ends: a new connection shows whether the machine is
+            # there, and a machine that only stands still would hold the old ones too
             self.patience = min(2 * self.patience, 4 * self.connect_timeout)
             line.wire.stop(Ending.STALLED)
         self.arm()
