Clients that say nothing or half a req make room for usual ones; idle ones go after 2 s

At fault: Limiter.make_room closed links to servers before connections that had never sent anything, and none that stood within a message; Front.close_idle polled every idle connection; nothing closed an idle one by time. Now the oldest that has sent nothing goes first, then links, idle clients, and the longest stuck one, with a 408.

--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -15,6 +15,9 @@
     from loomstand.net.req import Req
 
 
+STAYS = 2.0  # LATER: a connection with no open req may be closed after 2 s
+
+
 class Client:
     """A client's connection: one req at a time."""
 
@@ -100,6 +103,11 @@
     def ended(self, why: Ending) -> None:
         self.front.gone(self)
 
+    @property
+    def began(self) -> float:
+        """Since when it is in the state it is in, between reqs or within one."""
+        return self.busy_at if self.begun_at is None else self.begun_at
+
     @property
     def idle(self) -> bool:
         wire = self.wire
@@ -135,15 +143,39 @@
         if short > 0 and not self.limiter.make_room(client):
             # it is turned away once its req is read: an answer ahead of it could not be told from a lost one
             client.surplus = True
+            self.limiter.endings["client surplus"] += 1
             if short > self.at_once:
                 client.wire.stop(Ending.NO_ROOM)
 
     def close_idle(self, spared: Client | None = None) -> bool:
         """Closes the connection that has been idle longest, if there is one on which nothing has come."""
-        idle = [c for c in self.clients if c is not spared and c.free]
-        if idle:
-            min(idle, key=lambda c: c.busy_at).wire.stop(Ending.IDLE)
-        return bool(idle)
+        for client in sorted((c for c in self.clients if c.idle), key=lambda c: c.busy_at):
+            if client is not spared and not client.wire.unread:
+                client.wire.stop(Ending.IDLE)
+                return True
+        return False
+
+    def close_silent(self, spared: Client | None, within: float) -> bool:
+        """Closes the oldest connection that has never sent anything, if there is one older than that."""
+        since = self.limiter.loop.time() - within
+        for client in self.clients:
+            if client.made_at > since:
+                break
+            if client.busy_at == client.made_at and client is not spared and client.free:
+                client.wire.stop(Ending.STALLED)
+                return True
+        return False
+
+    def close_stuck(self, within: float) -> bool:
+        """Closes the connection that has been within a message, or lingers, longest, and longer than that."""
+        since = self.limiter.loop.time() - within
+        stuck = [c for c in self.clients if c.req is None and c.began < since and not c.idle]
+        if stuck:
+            client = min(stuck, key=lambda c: c.began)
+            if not client.wire.lingering and client.wire.written:
+                client.answer(408, close=True)
+            client.wire.stop(Ending.STALLED)
+        return bool(stuck)
 
     def gone(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -152,11 +184,13 @@
             self.limiter.vanished(req)
 
     def sweep(self, patience: float) -> None:
-        """Ends connections that stopped within a message, don't take their answer, or linger."""
+        """Ends connections that stopped within a message, don't take their answer, linger, or stay idle: some
+        clients ask once, or nothing, and keep their connection for good."""
         now = self.limiter.loop.time()
         for client in list(self.clients):
-            began = client.busy_at if client.begun_at is None else client.begun_at
-            if client.req is None and not client.idle and now - began > patience:
+            if client.idle and now - client.busy_at > STAYS and not client.wire.unread:
+                client.wire.stop(Ending.IDLE)
+            elif client.req is None and not client.idle and now - client.began > patience:
                 if client.wire.lingering or not client.wire.written:
                     client.wire.stop(Ending.STALLED)
                 else:
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -108,8 +108,11 @@
         return self.sockets - len(self.front.clients) - len(self.pool.links)
 
     def make_room(self, spared: Client | None = None) -> bool:
-        """Closes an idle connection: to a server rather than of a client, which may be about to use it."""
-        return self.pool.close_idle() or self.front.close_idle(spared)
+        """Closes a connection: of a client that has said nothing so far, else an idle one, to a server rather
+        than of a client, which may be about to use it, else of a client that is stuck within a message."""
+        front, within = self.front, self.pool.connect_timeout  # by then a usual client has sent something
+        idle = front.close_silent(spared, within) or self.pool.close_idle() or front.close_idle(spared)
+        return idle or front.close_stuck(within)
 
     def reload(self, config: Config) -> None:
         """Goes on under another configuration: addresses move, and nothing taken is lost."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -373,6 +373,27 @@
             gc.enable()
 
 
+@sockets
+async def test_clients_that_say_nothing_or_half_a_req_make_room_for_usual_ones():
+    def callers():
+        return Caller(site.port)
+
+    async with Site(passes) as site, callers() as caller, callers() as half, callers() as mute:
+        await caller.ask(request())
+        half.writer.write(request()[:40])
+        await until(lambda: [c.idle for c in site.limiter.front.clients].count(False) == 1)
+        await asyncio.sleep(0.3)  # longer than a connect may take
+        site.limiter.sockets = 4  # as many as there are: three of clients, one to a server
+        async with Caller(site.port) as first:
+            assert (await first.ask(request(id_="r1")))[0] == 200
+            assert await mute.closed() and site.servers[0].connections == 1
+            assert (await caller.ask(request(id_="r2")))[0] == 200
+            site.limiter.pool.close_idle = site.limiter.front.close_idle = lambda *spared: False
+            async with Caller(site.port) as second:
+                assert (await second.ask(request(id_="r3")))[0] == 200
+                assert (await half.answer())[0] == 408 and await half.closed()
+
+
 @sockets
 async def test_no_connection_is_closed_under_a_req_that_waits_to_be_read():
     async with Site(passes) as site, Caller(site.port) as caller:
