The client idle longest goes when clients hold over a sixth of the descriptors

Checked second by second (a probe): the idle ones that had been answered came anew at 50 and more a second and stayed; clients may hold a third of the descriptors, 128, so usual ones had none left. At fault: Front kept every idle connection until its bound of 296 was reached (let_in). Now the one whose last answer is oldest goes when a new one comes and over a sixth of the descriptors is held.

--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -89,6 +89,7 @@
         close = close or self.machine.close or self.front.stopping
         self.req = self.begun_at = None
         self.busy_at = self.front.limiter.loop.time()
+        self.front.answered(self)
         self.machine.reset()
         if not self.wire.send(http.answer(status, body, extra, close)):
             self.wire.stop(Ending.NO_ROOM)
@@ -125,6 +126,9 @@
 
     def __init__(self, limiter: Limiter, at_once: int) -> None:
         self.limiter, self.at_once = limiter, at_once
+        # PROTOCOL: for reqs clients hold a third of the descriptors at most, which those that ask once and
+        # stay would use up; half of it is left to usual ones
+        self.most_held = limiter.config.limits.sockets // 6
         self.clients: dict[Client, None] = {}
         self.server: asyncio.Server | None = None
         self.stopping = False
@@ -140,6 +144,8 @@
     def let_in(self, client: Client) -> None:
         self.clients[client] = None
         short = -self.limiter.spare_sockets()
+        if short <= 0 and len(self.clients) > self.most_held:
+            self.close_idle(client)
         if short > 0 and not self.limiter.make_room(client):
             # it is turned away once its req is read: an answer ahead of it could not be told from a lost one
             client.surplus = True
@@ -147,10 +153,15 @@
             if short > self.at_once:
                 client.wire.stop(Ending.NO_ROOM)
 
+    def answered(self, client: Client) -> None:
+        """Keeps them in the order of their last answer: who asks once and stays comes to the front."""
+        if self.clients.pop(client, self) is None:
+            self.clients[client] = None
+
     def close_idle(self, spared: Client | None = None) -> bool:
         """Closes the connection that has been idle longest, if there is one on which nothing has come."""
-        for client in sorted((c for c in self.clients if c.idle), key=lambda c: c.busy_at):
-            if client is not spared and not client.wire.unread:
+        for client in self.clients:
+            if client is not spared and client.free:
                 client.wire.stop(Ending.IDLE)
                 return True
         return False
@@ -159,7 +170,7 @@
         """Closes the oldest connection that has never sent anything, if there is one older than that."""
         since = self.limiter.loop.time() - within
         for client in self.clients:
-            if client.made_at > since:
+            if client.busy_at > since:
                 break
             if client.busy_at == client.made_at and client is not spared and client.free:
                 client.wire.stop(Ending.STALLED)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -394,6 +394,21 @@
                 assert (await half.answer())[0] == 408 and await half.closed()
 
 
+@sockets
+async def test_who_asks_once_and_stays_goes_before_usual_clients_run_out():
+    async with Site(passes) as site, Caller(site.port) as usual:
+        site.limiter.front.most_held = 4
+        stay = [Caller(site.port) for _ in range(8)]
+        for n, caller in enumerate(stay):
+            await caller.__aenter__()
+            assert (await caller.ask(request(id_=f"s{n}")))[0] == 200
+            assert (await usual.ask(request(id_=f"u{n}")))[0] == 200  # its place is the last
+            assert len(site.limiter.front.clients) <= 4
+        assert await stay[0].closed()
+        for caller in stay:
+            caller.writer.close()
+
+
 @sockets
 async def test_no_connection_is_closed_under_a_req_that_waits_to_be_read():
     async with Site(passes) as site, Caller(site.port) as caller:
