--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -101,6 +101,13 @@
         self.wire.resume()
         self.take()
 
+    def expel(self) -> None:
+        """Ends what is stuck: with a 408, where that can still be said."""
+        if self.wire.lingering or not self.wire.written:
+            self.wire.stop(Ending.STALLED)
+        else:
+            self.answer(408, close=True)
+
     def ended(self, why: Ending) -> None:
         self.front.gone(self)
 
@@ -115,6 +122,11 @@
         between = self.req is None and not wire.inbound.used and not self.machine.begun
         return between and wire.written and not wire.lingering
 
+    @property
+    def stuck(self) -> bool:
+        """Whether it is within a message, has an answer that it doesn't take, or lingers."""
+        return self.req is None and not self.idle
+
     @property
     def free(self) -> bool:
         """Whether it can be closed: idle, and nothing waits to be read."""
@@ -144,9 +156,10 @@
     def let_in(self, client: Client) -> None:
         self.clients[client] = None
         short = -self.limiter.spare_sockets()
-        if short <= 0 and len(self.clients) > self.most_held:
-            self.close_idle(client)
-        if short > 0 and not self.limiter.make_room(client):
+        if short <= 0:
+            if len(self.clients) > self.most_held:
+                self.close_idle(client)
+        elif not self.limiter.make_room(client):
             # it is turned away once its req is read: an answer ahead of it could not be told from a lost one
             client.surplus = True
             self.limiter.endings["client surplus"] += 1
@@ -180,12 +193,11 @@
     def close_stuck(self, within: float) -> bool:
         """Closes the connection that has been within a message, or lingers, longest, and longer than that."""
         since = self.limiter.loop.time() - within
-        stuck = [c for c in self.clients if c.req is None and c.began < since and not c.idle]
+        stuck = [c for c in self.clients if c.began < since and c.stuck]
         if stuck:
             client = min(stuck, key=lambda c: c.began)
-            if not client.wire.lingering and client.wire.written:
-                client.answer(408, close=True)
-            client.wire.stop(Ending.STALLED)
+            client.expel()
+            client.wire.stop(Ending.STALLED)  # its place is needed now
         return bool(stuck)
 
     def gone(self, client: Client) -> None:
@@ -199,13 +211,10 @@
         clients ask once, or nothing, and keep their connection for good."""
         now = self.limiter.loop.time()
         for client in list(self.clients):
-            if client.idle and now - client.busy_at > STAYS and not client.wire.unread:
+            if now - client.busy_at > STAYS and client.free:
                 client.wire.stop(Ending.IDLE)
-            elif client.req is None and not client.idle and now - client.began > patience:
-                if client.wire.lingering or not client.wire.written:
-                    client.wire.stop(Ending.STALLED)
-                else:
-                    client.answer(408, close=True)
+            elif now - client.began > patience and client.stuck:
+                client.expel()
 
     def stop(self) -> None:
         """No connection stays open between reqs; new ones are still taken."""
--- a/loomstand/net/counter.py
+++ b/loomstand/net/counter.py
@@ -151,11 +151,15 @@
 
     def answered(self, call: Call, status: int, body: bytes) -> bool:
         """Whether this is an answer that the counter gives: after any other its connection is of no use."""
-        total = float(body) if status == 200 and TOTAL(body) else 0.0
-        fit = isfinite(total) and (TOTAL(body) if status == 200 else called(status) is Outcome.TURNED_AWAY)
+        outcome, total = called(status), 0.0
+        if outcome is Outcome.PASSED:
+            if TOTAL(body) and isfinite(float(body)):
+                total = float(body)
+            else:
+                outcome = Outcome.NO_ANSWER
         if not call.told:
-            self.tell(call, called(status) if fit else Outcome.NO_ANSWER, total if fit else 0.0)
-        return bool(fit)
+            self.tell(call, outcome, total)
+        return outcome is not Outcome.NO_ANSWER
 
     def tell(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         call.told = True
