--- /dev/null
+++ b/benchmarks/lab_scale.py
@@ -0,0 +1,68 @@
+"""The lab's cost against its size: wall time and events a second for N limiters x 60 s simulated.
+
+Traffic grows with the fleet (ten customers a limiter at 2 reqs a second each, one server for two limiters),
+so each limiter sees about 20 reqs a second at every size, as on a mass day, and a cost linear in limiters
+shows as a flat `us a req`. Only the module is played (no baselines). Not a timed test: run by hand,
+
+    .venv/bin/python benchmarks/lab_scale.py 10 100 1000 --seconds 60 --json scale.json
+
+Each size runs in a process of its own, at the same time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import resource
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from loomstand.lab import runner
+from loomstand.lab import scenario as sc
+
+
+def one(args: tuple[int, float]) -> dict:
+    limiters, seconds = args
+    scenario = sc.from_table({
+        "name": f"scale-{limiters}",
+        "seconds": seconds,
+        "baselines": [],
+        "fleet": {"limiters": limiters, "servers": max(2, limiters // 2), "zones": ["a", "b", "c"]},
+        "frontends": [{"name": "quote", "response_target_ms": 400, "client_timeout_ms": 1500, "work_ms": 40}],
+        "plans": [{"name": "basic", "rate": 2, "burst": 6, "customers": 10 * limiters}],
+    })
+    began = time.perf_counter()
+    played = runner.play(scenario, "brain", 1)
+    wall = time.perf_counter() - began
+    reqs = played.summary["counts"]["taken"]
+    return {
+        "limiters": limiters,
+        "simulated_s": seconds,
+        "wall_s": round(wall, 2),
+        "events": played.events,
+        "events_per_s": round(played.events / wall),
+        "reqs": reqs,
+        "us_per_req": round(wall / max(1, reqs) * 1e6, 1),
+        "G": played.summary["G"],
+        "held": played.summary["held"],
+        "peak_rss_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024),
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("sizes", type=int, nargs="+")
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--json", default="")
+    args = parser.parse_args()
+    with ProcessPoolExecutor(max_workers=len(args.sizes)) as pool:
+        rows = list(pool.map(one, [(n, args.seconds) for n in args.sizes]))
+    for row in rows:
+        print(json.dumps(row))
+    if args.json:
+        with open(args.json, "w") as out:
+            json.dump(rows, out, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- a/loomstand/cli.py
+++ b/loomstand/cli.py
@@ -74,3 +74,95 @@
 def version() -> None:
     """Print the version."""
     click.echo(f"loomstand {__version__}")
+
+
+@main.group()
+def lab() -> None:
+    """Play the fleet in simulated time: the real module at sizes sockets don't reach (docs/lab.md)."""
+
+
+def scenario_table(path: str) -> dict:
+    import tomllib
+
+    from loomstand.lab import scenario as sc
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            table = tomllib.loads(file.read())
+        sc.from_table(table)
+    except OSError as why:
+        raise click.ClickException(f"{path}: {why.strerror}") from None
+    except tomllib.TOMLDecodeError as why:
+        raise click.ClickException(f"{path} is not TOML: {why}") from None
+    except sc.ScenarioError as why:
+        raise click.ClickException(f"{path}: {why}") from None
+    return table
+
+
+@lab.command("run")
+@click.argument("scenario_file", metavar="SCENARIO", type=click.Path(dir_okay=False))
+@click.option("--seed", type=int, default=None, help="default: the scenario's")
+@click.option("--out", type=click.Path(file_okay=False), default=None, help="where report.json goes")
+@click.option("--plot/--no-plot", default=False, help="draw the PNGs into --out as well")
+def lab_run(scenario_file: str, seed: int | None, out: str | None, plot: bool) -> None:
+    """Play SCENARIO with the module and its baselines; exit 1 if the module broke a rule."""
+    from rich.console import Console
+
+    from loomstand.lab import report, runner
+    from loomstand.lab import scenario as sc
+
+    console = Console(stderr=True)
+    scenario = sc.from_table(scenario_table(scenario_file))
+    with console.status("playing") as status:
+        result = runner.run(scenario, seed, progress=lambda p: status.update(f"playing {p}"))
+    report.table(result, Console())
+    if out:
+        report.write(result, out)
+        if plot:
+            report.plot(out)
+    if not result["held"]:
+        raise SystemExit(1)
+
+
+@lab.command("sweep")
+@click.argument("scenario_file", metavar="SCENARIO", type=click.Path(dir_okay=False))
+@click.option("--set", "setting", required=True, help="KEY=V1,V2,... e.g. fleet.limiters=10,100,1000")
+@click.option("--seed", type=int, default=None)
+@click.option("--out", type=click.Path(file_okay=False), required=True)
+@click.option("--workers", type=click.IntRange(1, 64), default=os.cpu_count() or 1, show_default=True)
+def lab_sweep(scenario_file: str, setting: str, seed: int | None, out: str, workers: int) -> None:
+    """Play SCENARIO once a value of KEY, in parallel; a report a point in OUT/point-N, plots at the end."""
+    import json
+    from pathlib import Path
+
+    from rich.progress import Progress
+
+    from loomstand.lab import report, runner
+    from loomstand.lab import scenario as sc
+
+    table = scenario_table(scenario_file)
+    try:
+        key, vals = runner.values(setting)
+        with Progress(transient=True) as bar:
+            bar.add_task(f"sweep of {key}", total=None)
+            results = runner.sweep(table, key, vals, seed, workers)
+    except sc.ScenarioError as why:
+        raise click.ClickException(str(why)) from None
+    points = []
+    for n, (value, result) in enumerate(zip(vals, results, strict=True)):
+        result["swept"] = value
+        report.write(result, Path(out) / f"point-{n}")
+        points.append(f"point-{n}")
+    (Path(out) / "sweep.json").write_text(json.dumps({"key": key, "values": vals, "points": points}))
+    report.sweep_table(key, results)
+    report.plot(out)
+
+
+@lab.command("plot")
+@click.argument("out", type=click.Path(file_okay=False, exists=True))
+def lab_plot(out: str) -> None:
+    """Draw the PNGs of the run or sweep in OUT."""
+    from loomstand.lab import report
+
+    for path in report.plot(out):
+        click.echo(path)
--- /dev/null
+++ b/loomstand/lab/baselines.py
@@ -0,0 +1,141 @@
+"""Policies to hold the module against, with the module's call `handle(now, note) -> actions`.
+
+`naive`: each limiter keeps every customer to quota/N with a bucket of its own (burst/N, at least one unit),
+sends to a listed live server by chance, never tries again, and asks nobody. It is what a limiter does that
+knows only how many limiters there are.
+
+`oracle`: sees the true global state at once: each customer's one bucket over all limiters, and every
+server's load, warmth and health as the model holds them. It sends to the least loaded server that can take
+the req now, keeps cold servers under what they bear, and tries again where the req may run again. An upper
+mark, not a policy that could be deployed: G/oracle is the module's figure in a lab report.
+
+Both keep the rules by construction except where their blindness breaks them (naive and cold servers),
+which the checker then names.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from loomstand import interface as api
+from loomstand.interface import TENTHS_PER_S as T
+
+if TYPE_CHECKING:
+    from loomstand.lab.fleet import Fleet
+
+OC = api.Outcome
+NOT_RUN = (OC.TURNED_AWAY, OC.NO_CONNECTION, OC.NOT_SENT, OC.CALLED_OFF)
+
+
+class Naive:
+    """quota/N at each limiter; one dispatch to a live server chosen by chance."""
+
+    def __init__(self, fleet: Fleet, me: int, settings: api.Settings, seed: int) -> None:
+        self.s, self.rng = settings, Random(seed)
+        self.share = 1 / max(1, settings.limiters)
+        self.buckets: dict[int, list[float]] = {}
+        self.live: list[int] = []
+        self.known: dict[int, api.Phase] = {}
+        self.fronts: dict[int, int] = {}  # req to frontend, while a dispatch is out
+
+    def handle(self, now: int, note: api.Note) -> list[api.Action]:
+        match note:
+            case api.Listed():
+                if note.whole:
+                    self.known = {}
+                for e in note.entries:
+                    self.known[e.srv] = e.phase
+                self.live = sorted(srv for srv, phase in self.known.items() if phase is api.Phase.LIVE)
+            case api.Arrived():
+                if not 0 <= note.plan < len(self.s.plans) or not self.live:
+                    return [api.Deny(note.req)]
+                plan = self.s.plans[note.plan]
+                depth = max(1.0, plan.burst * self.share)
+                held = self.buckets.setdefault(note.customer, [depth, now])
+                held[0], held[1] = min(depth, held[0] + plan.rate * self.share * (now - held[1]) / T), now
+                if held[0] < note.units:
+                    return [api.Deny(note.req)]
+                held[0] -= note.units
+                srv = self.live[self.rng.randrange(len(self.live))]
+                self.fronts[note.req] = note.frontend
+                return [api.Dispatch(note.req, srv, note.give_up)]
+            case api.Vanished():
+                self.fronts.pop(note.req, None)
+            case api.Ended() if note.req in self.fronts:
+                front = self.s.frontends[self.fronts.pop(note.req)]
+                if note.final:
+                    return []
+                if note.outcome in NOT_RUN or front.effect is api.Effect.REPLAYABLE:
+                    return [api.Deny(note.req)]
+                return [api.Abort(note.req)]
+        return []
+
+
+class Oracle:
+    """The true state at once; see the module's docstring."""
+
+    def __init__(self, fleet: Fleet, me: int, settings: api.Settings, seed: int) -> None:
+        self.fleet, self.s, self.me = fleet, settings, me
+        self.jobs: dict[int, tuple[api.Arrived, list[int], bool]] = {}  # note, servers tried, may have run
+
+    def handle(self, now: int, note: api.Note) -> list[api.Action]:
+        match note:
+            case api.Arrived():
+                if not 0 <= note.plan < len(self.s.plans):
+                    return [api.Deny(note.req)]
+                plan = self.s.plans[note.plan]
+                held = self.fleet.oracle_buckets.setdefault(note.customer, [plan.burst, now])
+                held[0], held[1] = min(plan.burst, held[0] + plan.rate * (now - held[1]) / T), now
+                if held[0] < note.units:
+                    return [api.Deny(note.req)]
+                srv = self.pick(note, ())
+                if srv is None:
+                    return [api.Deny(note.req)]
+                held[0] -= note.units
+                self.jobs[note.req] = (note, [srv], False)
+                return [api.Dispatch(note.req, srv, note.give_up)]
+            case api.Ended():
+                job = self.jobs.pop(note.req, None)
+                if job is None or note.final:
+                    return []
+                arrived, tried, ran = job
+                ran = ran or note.outcome not in NOT_RUN
+                effect = self.s.frontends[arrived.frontend].effect
+                again = effect is api.Effect.REPLAYABLE or not ran
+                if again and len(tried) < self.s.try_limit and now < arrived.give_up:
+                    srv = self.pick(arrived, tried)
+                    if srv is not None:
+                        self.jobs[note.req] = (arrived, [*tried, srv], ran)
+                        return [api.Dispatch(note.req, srv, arrived.give_up)]
+                return [
+                    api.Abort(note.req) if ran and effect is not api.Effect.REPLAYABLE else api.Deny(note.req)
+                ]
+            case api.Vanished():
+                self.jobs.pop(note.req, None)
+        return []
+
+    def pick(self, note: api.Arrived, tried: tuple[int, ...] | list[int]) -> int | None:
+        fleet, zone = self.fleet, self.fleet.limiters[self.me].zone
+        best, least = None, 0.0
+        for srv in fleet.servers:
+            if not srv.up or srv.phase is not api.Phase.LIVE or srv.srv in tried:
+                continue
+            if srv.zone != zone and (srv.zone in fleet.cut or zone in fleet.cut):
+                continue
+            if fleet.engine.now < srv.failing_until:
+                continue
+            room = srv.room()
+            if srv.hand() >= room + fleet.scenario.fleet.queue // 2:
+                continue
+            if srv.warmth() < 1.0:
+                bears = fleet.scenario.fleet.fall_multiple * srv.warmth() * fleet.throughput * fleet.tip / T
+                if len(srv.recent) + 1 > 0.8 * bears:
+                    continue
+            load = (srv.hand() + 1) / room * srv.slow
+            if best is None or load < least:
+                best, least = srv.srv, load
+        return best
+
+
+POLICIES = {"naive": Naive, "oracle": Oracle}
--- /dev/null
+++ b/loomstand/lab/checker.py
@@ -0,0 +1,156 @@
+"""The five rules, checked over a whole lab history; each break is named by rule, req id and limiter.
+
+1. Every req taken gets exactly one final answer before its client timeout (plus the answer slack). A req
+   whose limiter was killed under it, or whose client left first, is owed nothing.
+2. No effect twice: a non-replayable req runs at most once; a uniqued one at most once outside its group and
+   repeat window; and a req has at most one dispatch out at any moment.
+3. Nothing new to a server past the drain grace after its limiter was told that it drains or is gone.
+4. No cold server falls over under what all limiters together send it.
+5. No customer's use passes its plan's hard ceiling (a bucket of `ceiling_rate` and `ceiling_depth`) by more
+   than the slack.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from loomstand.lab import scenario as sc
+from loomstand.lab.history import History
+
+T = 10_000
+MS = T // 1000
+NAMES = {
+    1: "one final answer in time",
+    2: "no effect twice",
+    3: "nothing new to a leaving server",
+    4: "no cold server pushed over",
+    5: "ceilings kept within the slack",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Break:
+    """One broken rule: which, for which req (or server or customer), at which limiter, and what was seen."""
+
+    rule: int
+    req: int
+    limiter: int
+    at: int
+    what: str
+
+
+@dataclass(slots=True)
+class Verdict:
+    breaks: list[Break] = field(default_factory=list)
+
+    @property
+    def held(self) -> bool:
+        return not self.breaks
+
+    def by_rule(self) -> dict[int, int]:
+        counts = dict.fromkeys(NAMES, 0)
+        for b in self.breaks:
+            counts[b.rule] += 1
+        return counts
+
+    def first(self, most: int = 5) -> list[Break]:
+        """The first few breaks of each rule."""
+        out: list[Break] = []
+        for rule in NAMES:
+            out += [b for b in self.breaks if b.rule == rule][:most]
+        return out
+
+
+def check(history: History, scenario: sc.Scenario) -> Verdict:
+    """Every break of the five rules in the history."""
+    verdict = Verdict()
+    verdict.breaks += answers(history, scenario)
+    verdict.breaks += effects(history, scenario)
+    verdict.breaks += leaving(history, scenario)
+    verdict.breaks += [
+        Break(4, -1, -1, at, f"server {srv} fell: {sent:.0f} sent in the tip window, it bears {bears:.1f}")
+        for srv, at, sent, bears in history.falls
+    ]
+    verdict.breaks += ceilings(history, scenario)
+    return verdict
+
+
+def answers(history: History, scenario: sc.Scenario) -> list[Break]:
+    slack = round(scenario.fleet.answer_slack_ms * MS)
+    out = []
+    for r in history.reqs:
+        if r.finals > 1:
+            out.append(Break(1, r.req, r.limiter, r.final_at, f"{r.finals} final answers"))
+        if r.orphaned or r.vanished:
+            continue
+        if r.finals == 0:
+            out.append(Break(1, r.req, r.limiter, r.give_up, "no final answer"))
+        elif r.final_at > r.give_up + slack:
+            late = (r.final_at - r.give_up) / MS
+            out.append(
+                Break(1, r.req, r.limiter, r.final_at, f"{r.final} {late:.1f} ms after the client timeout")
+            )
+    return out
+
+
+def effects(history: History, scenario: sc.Scenario) -> list[Break]:
+    out = []
+    limiter_of = {r.req: r.limiter for r in history.reqs}
+    seen: dict[int, list[tuple[int, int, str, int]]] = {}
+    for req, srv, at, effect, group, window in history.runs:
+        if effect == "pure":
+            continue
+        before = seen.setdefault(req, [])
+        for srv0, at0, _, group0 in before:
+            if effect == "side_effect" or group0 != group or at - at0 > window:
+                out.append(
+                    Break(
+                        2,
+                        req,
+                        limiter_of.get(req, -1),
+                        at,
+                        f"{effect} req ran at server {srv0} and again at server {srv}",
+                    )
+                )
+                break
+        before.append((srv, at, effect, group))
+    # at most one dispatch out at once: each dispatch is open from its send to its end at the limiter
+    for req, limiter, at in history.overlaps:
+        out.append(Break(2, req, limiter, at, "a second dispatch while one was out"))
+    return out
+
+
+def leaving(history: History, scenario: sc.Scenario) -> list[Break]:
+    grace = round(scenario.fleet.drain_grace_ms * MS) + 50 * MS  # the protocol adds 50 ms to time limits
+    told: dict[tuple[int, int], list[tuple[int, int]]] = {}
+    for limiter, srv, at, until in history.told_leaving:
+        told.setdefault((limiter, srv), []).append((at, until))
+    out = []
+    for req, n, limiter, srv, sent, _ in history.dispatches:
+        for at, until in told.get((limiter, srv), ()):
+            if at + grace < sent < until:
+                late = (sent - at) / MS
+                out.append(
+                    Break(3, req, limiter, sent, f"dispatch {n} to server {srv} {late:.0f} ms after told")
+                )
+                break
+    return out
+
+
+def ceilings(history: History, scenario: sc.Scenario) -> list[Break]:
+    out, level, last, broken = [], {}, {}, set()
+    plans = scenario.plans
+    for customer, plan, at, units in history.used:
+        p = plans[plan]
+        if p.ceiling_rate <= 0 or customer in broken:
+            continue
+        depth = p.ceiling_depth or p.ceiling_rate
+        held = level.get(customer, depth)
+        held = min(depth, held + p.ceiling_rate * (at - last.get(customer, at)) / T) - units
+        level[customer], last[customer] = held, at
+        if held < -p.ceiling_slack - 1e-9:
+            broken.add(customer)
+            out.append(
+                Break(5, -1, -1, at, f"customer {customer} of {p.name} {-held:.1f} units over its ceiling")
+            )
+    return out
--- /dev/null
+++ b/loomstand/lab/fleet.py
@@ -0,0 +1,855 @@
+"""The fleet that a lab run plays: clients, limiters, servers, the counter, discovery and the network.
+
+Each part is an actor of `engine.Engine`; a limiter holds a policy with the module's one call,
+`handle(now, note) -> actions`, fed the notes of `loomstand.interface` exactly as the adapter feeds them, so
+that the real `Brain` decides and nothing of its decisions is copied here. What the model decides itself
+(which servers a fault hits, when a client comes again) draws on one seeded `random.Random`.
+
+Times are tenths of a millisecond (`T`); rates are per second.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import accumulate
+from math import ceil
+from random import Random
+
+from loomstand import interface as api
+from loomstand.config import Allowed, Conf, Grade, PlanConf, Rules, Specifics, settings
+from loomstand.door import digest
+from loomstand.lab import scenario as sc
+from loomstand.lab.engine import Engine
+from loomstand.lab.history import ABORTED, DENIED, PASSED, History, Req
+
+T = api.TENTHS_PER_S
+MS = T // 1000
+OC = api.Outcome
+NOT_RUN = (OC.TURNED_AWAY, OC.NO_CONNECTION, OC.NOT_SENT)
+LIST_DELAY = 50 * MS  # discovery's usual lag behind a change: a watch answered within a few RTTs
+WHOLE_EVERY = 10 * T  # a whole list to every limiter, as a poll of discovery would bring it
+CONNECT = 250 * MS  # what a connect to a cut-off peer takes to fail; the settings' default connect timeout
+
+
+class Policy:
+    """What a limiter runs: the module, or a baseline with the same call."""
+
+    def handle(self, now: int, note: api.Note) -> list[api.Action]:
+        raise NotImplementedError
+
+
+PolicyMaker = Callable[["Fleet", int, api.Settings, int], Policy]
+
+
+# notes between the parts ------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Work:
+    req: int
+    dispatch: int
+    limiter: int
+    lgen: int
+    frontend: int
+
+
+@dataclass(slots=True)
+class Finish:
+    work: Work
+    gen: int
+    failed: bool
+
+
+@dataclass(slots=True)
+class Reply:
+    req: int
+    dispatch: int
+    lgen: int
+    srv: int
+    outcome: api.Outcome
+
+
+@dataclass(slots=True)
+class Expire:
+    req: int
+    dispatch: int
+    lgen: int
+
+
+@dataclass(slots=True)
+class Timer:
+    tag: int
+    lgen: int
+
+
+@dataclass(slots=True)
+class CountCall:
+    limiter: int
+    lgen: int
+    call: int
+    name: int
+    step: float
+    keep: int
+
+
+@dataclass(slots=True)
+class CountReply:
+    call: int
+    lgen: int
+    outcome: api.Outcome
+    total: float
+
+
+@dataclass(slots=True)
+class ListNote:
+    lgen: int
+    listed: api.Listed
+
+
+@dataclass(slots=True)
+class Come:
+    req: Req
+
+
+@dataclass(slots=True)
+class Leave:
+    req: int
+    lgen: int
+
+
+@dataclass(slots=True)
+class Later:
+    """A note that a limiter posts to itself, so that no answer is fed back inside a call of its policy."""
+
+    lgen: int
+    note: api.Note
+
+
+# the parts -------------------------------------------------------------------------------------------
+
+
+class Server:
+    """A server: `capacity` reqs at work at once, a queue behind them, cold after each start."""
+
+    def __init__(self, fleet: Fleet, srv: int, zone: int, booted: int) -> None:
+        self.fleet, self.srv, self.zone = fleet, srv, zone
+        self.booted, self.up, self.phase, self.gen = booted, True, api.Phase.LIVE, 0
+        self.working: list[Work] = []
+        self.queue: deque[Work] = deque()
+        self.slow, self.failing_until, self.fallen = 1.0, -1, False
+        self.recent: deque[int] = deque()  # arrival times within the last tip window, while cold
+
+    def warmth(self) -> float:
+        f, age = self.fleet.scenario.fleet, self.fleet.engine.now - self.booted
+        cold = round(f.cold_s * T)
+        if self.booted <= 0 or age >= cold:
+            return 1.0
+        return f.cold_from + (1 - f.cold_from) * age / cold
+
+    def room(self) -> int:
+        """Reqs it works on at once now."""
+        return max(1, round(self.fleet.scenario.fleet.capacity * self.warmth()))
+
+    def hand(self) -> int:
+        return len(self.working) + len(self.queue)
+
+    def take(self, note: object) -> None:
+        if isinstance(note, Work):
+            self.arrive(note)
+        elif isinstance(note, Finish) and note.gen == self.gen and note.work in self.working:
+            self.working.remove(note.work)
+            self.answer(note.work, OC.SERVER_ERROR if note.failed else OC.PASSED)
+            if self.queue:
+                self.start(self.queue.popleft())
+
+    def arrive(self, work: Work) -> None:
+        fleet, now = self.fleet, self.fleet.engine.now
+        fleet.history.dispatches[fleet.dispatch_rows[work.req, work.dispatch]][5] = now
+        if not self.up or self.phase is api.Phase.GONE:
+            return self.answer(work, OC.NO_CONNECTION)
+        warmth = self.warmth()
+        if (
+            warmth < 1.0
+        ):  # the rule's cold server: more than fall_multiple times what it can do, for tip_after
+            f = fleet.scenario.fleet
+            tip = fleet.tip
+            self.recent.append(now)
+            while self.recent and self.recent[0] <= now - tip:
+                self.recent.popleft()
+            bears = f.fall_multiple * warmth * fleet.throughput * tip / T
+            if len(self.recent) > max(2.0, bears):
+                fleet.history.falls.append((self.srv, now, float(len(self.recent)), bears))
+                self.fallen = True
+                fleet.crash(self, back_after=-1)
+                return self.answer(work, OC.CONNECTION_LOST)
+        if self.hand() >= self.room() + fleet.scenario.fleet.queue:
+            return self.answer(work, OC.TURNED_AWAY)
+        if len(self.working) < self.room():
+            self.start(work)
+        else:
+            self.queue.append(work)
+
+    def start(self, work: Work) -> None:
+        fleet = self.fleet
+        front = fleet.scenario.frontends[work.frontend]
+        fleet.ran(work, self)
+        self.working.append(work)
+        failing = fleet.engine.now < self.failing_until
+        mean = front.work_ms * MS * self.slow * (0.1 if failing else 1.0)
+        fleet.engine.post(
+            max(1, round(fleet.rng.expovariate(1 / mean))), self, Finish(work, self.gen, failing)
+        )
+
+    def answer(self, work: Work, outcome: api.Outcome) -> None:
+        fleet = self.fleet
+        limiter = fleet.limiters[work.limiter]
+        delay = fleet.delay(self.zone, limiter.zone)
+        if delay is None:
+            return  # lost: the limiter's expiry answers it
+        fleet.engine.post(delay, limiter, Reply(work.req, work.dispatch, work.lgen, self.srv, outcome))
+
+    def crash(self) -> None:
+        """Everything in hand is cut off; the limiters hear of it as connections lost."""
+        self.up, self.gen = False, self.gen + 1
+        for work in [*self.working, *self.queue]:
+            self.answer(work, OC.CONNECTION_LOST)
+        self.working, self.queue = [], deque()
+        self.recent.clear()
+
+    def entry(self) -> api.Entry:
+        return api.Entry(self.srv, self.phase, self.zone, 0, 0, 1.0, self.booted)
+
+
+class Counter:
+    """The shared counter: totals by name that last `keep`; latency, silence, loss of all, split in parts."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.parts: list[dict[int, list[float]]] = [{}]
+        self.down_until, self.slow = -1, 1.0
+
+    def take(self, note: object) -> None:
+        if not isinstance(note, CountCall):
+            return
+        fleet, now = self.fleet, self.fleet.engine.now
+        if now < self.down_until:
+            return
+        part = self.parts[note.limiter % len(self.parts)]
+        held = part.get(note.name)
+        if held is None or held[1] < now:
+            held = part[note.name] = [0.0, 0]
+        held[0] += note.step
+        held[1] = now + note.keep
+        limiter = fleet.limiters[note.limiter]
+        back = fleet.delay(0, limiter.zone)
+        if back is None:
+            return
+        took = round(fleet.scenario.counter.latency_ms * MS * self.slow * (0.5 + fleet.rng.random()))
+        fleet.engine.post(back + took, limiter, CountReply(note.call, note.lgen, OC.PASSED, held[0]))
+
+    def split(self, parts: int) -> None:
+        self.parts = [dict((k, list(v)) for k, v in self.parts[0].items()) for _ in range(parts)]
+
+    def join(self) -> None:
+        """Parts that see each other again keep the larger total of each name: none is counted twice."""
+        whole: dict[int, list[float]] = {}
+        for part in self.parts:
+            for name, held in part.items():
+                if name not in whole or held[0] > whole[name][0]:
+                    whole[name] = list(held)
+        self.parts = [whole]
+
+
+class Discovery:
+    """Tells every limiter of each change in the list, late by a little, and the whole list now and then."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.extra, self.partial = 0, 1.0
+
+    def entries(self) -> tuple[api.Entry, ...]:
+        known = [s.entry() for s in self.fleet.servers if s.phase is not api.Phase.GONE or s.up]
+        if self.partial < 1.0:
+            known = known[: ceil(len(known) * self.partial)]
+        return tuple(known)
+
+    def tell(self, entries: tuple[api.Entry, ...], whole: bool) -> None:
+        fleet = self.fleet
+        for limiter in fleet.limiters:
+            if limiter.alive:
+                lag = LIST_DELAY + self.extra + fleet.rng.randrange(LIST_DELAY)
+                fleet.engine.post(lag, limiter, ListNote(limiter.gen, api.Listed(entries, whole)))
+
+    def take(self, note: object) -> None:  # the periodic whole list
+        self.tell(self.entries(), True)
+        self.fleet.engine.post(WHOLE_EVERY, self, note)
+
+
+class Limiter:
+    """One limiter: its policy, what it has sent and what it owes."""
+
+    def __init__(self, fleet: Fleet, idx: int, zone: int) -> None:
+        self.fleet, self.idx, self.zone = fleet, idx, zone
+        self.alive, self.gen = False, 0
+        self.policy: Policy | None = None
+        self.open: dict[tuple[int, int], int] = {}  # (req, dispatch) to server
+        self.calls: dict[int, tuple[int, float, int]] = {}  # call to name, step, sent at
+        self.owed: dict[int, Req] = {}
+        self.sent: dict[int, int] = {}  # dispatches a req has had
+
+    def start(self) -> None:
+        fleet = self.fleet
+        self.alive, self.gen = True, self.gen + 1
+        self.open, self.calls, self.owed, self.sent = {}, {}, {}, {}
+        told = fleet.settings_for(self.idx, self.zone)
+        self.policy = fleet.make_policy(fleet, self.idx, told, fleet.rng.getrandbits(64))
+        self.take(ListNote(self.gen, api.Listed(fleet.discovery.entries(), True)))
+
+    def kill(self) -> None:
+        self.alive, self.gen, self.policy = False, self.gen + 1, None
+        for req in self.owed.values():
+            req.orphaned = True
+        self.owed, self.open, self.calls = {}, {}, {}
+
+    def take(self, note: object) -> None:
+        lgen = getattr(note, "lgen", self.gen)
+        if not self.alive or lgen != self.gen:
+            if isinstance(note, Come):
+                note.req.orphaned = True  # its limiter died before it was taken
+            return  # for a process that is no more
+        fleet = self.fleet
+        match note:
+            case Come(req=req):
+                self.owed[req.req] = req
+                self.feed(
+                    api.Arrived(
+                        req.req,
+                        req.frontend,
+                        req.plan,
+                        req.customer,
+                        fleet.digests[req.customer],
+                        req.give_up,
+                        req.units,
+                        0,
+                        req.retry,
+                    )
+                )
+            case Reply():
+                if self.open.pop((note.req, note.dispatch), None) is None:
+                    return
+                passed = note.outcome is OC.PASSED
+                took = (
+                    fleet.engine.now
+                    - fleet.history.dispatches[fleet.dispatch_rows[note.req, note.dispatch]][4]
+                )
+                if passed:
+                    self.final(note.req, PASSED)
+                self.feed(api.Ended(note.req, note.dispatch, note.srv, note.outcome, took, passed, 0, 0.0))
+            case Expire():
+                if (srv := self.open.pop((note.req, note.dispatch), None)) is not None:
+                    took = (
+                        fleet.engine.now
+                        - fleet.history.dispatches[fleet.dispatch_rows[note.req, note.dispatch]][4]
+                    )
+                    self.feed(api.Ended(note.req, note.dispatch, srv, OC.NO_ANSWER, took, False, 0, 0.0))
+            case CountReply():
+                if (call := self.calls.pop(note.call, None)) is not None:
+                    self.feed(api.Counted(call[0], note.outcome, note.total, fleet.engine.now - call[2]))
+            case Timer():
+                self.feed(api.Woke(note.tag))
+            case ListNote():
+                live = fleet.told_live.setdefault(self.idx, set())
+                if note.listed.whole:
+                    named = {e.srv for e in note.listed.entries}
+                    for srv in live - named:
+                        fleet.leaving(self.idx, srv)
+                    live &= named
+                for entry in note.listed.entries:
+                    if entry.phase is api.Phase.LIVE:
+                        live.add(entry.srv)
+                        fleet.back(self.idx, entry.srv)
+                    else:
+                        live.discard(entry.srv)
+                        fleet.leaving(self.idx, entry.srv)
+                self.feed(note.listed)
+            case Leave():
+                if (req := self.owed.pop(note.req, None)) is not None:
+                    req.vanished = True
+                    self.feed(api.Vanished(note.req))
+            case Later():
+                self.feed(note.note)
+
+    def feed(self, note: api.Note) -> None:
+        fleet = self.fleet
+        try:
+            actions = self.policy.handle(fleet.engine.now, note)
+        except Exception as why:  # a policy that raises is a crash of its limiter, as on the bench
+            fleet.history.broken.append((self.idx, f"{type(why).__name__}: {why}"))
+            self.kill()
+            return
+        for act in actions:
+            self.act(act)
+
+    def act(self, act: api.Action) -> None:
+        fleet, now = self.fleet, self.fleet.engine.now
+        match act:
+            case api.Dispatch():
+                n = self.sent.get(act.req, 0)
+                self.sent[act.req] = n + 1
+                if any(key[0] == act.req for key in self.open):
+                    fleet.history.overlaps.append((act.req, self.idx, now))
+                fleet.send(self, act, n)
+            case api.Deny():
+                self.final(act.req, DENIED)
+                if (req := fleet.req_rows.get(act.req)) is not None:
+                    fleet.clients.denied(req)
+            case api.Abort():
+                self.final(act.req, ABORTED)
+            case api.CallOff():
+                if (srv := self.open.pop((act.req, act.dispatch), None)) is not None:
+                    ended = api.Ended(act.req, act.dispatch, srv, OC.CALLED_OFF, 0, False, 0, 0.0)
+                    fleet.engine.post(0, self, Later(self.gen, ended))
+            case api.Wake():
+                fleet.engine.post(act.after, self, Timer(act.tag, self.gen))
+            case api.Count():
+                fleet.count(self, act)
+            case api.Probe():
+                srv = fleet.servers[act.srv] if act.srv < len(fleet.servers) else None
+                outcome = OC.PASSED if srv is not None and srv.up else OC.NO_CONNECTION
+                fleet.engine.post(2 * MS, self, Later(self.gen, api.Probed(act.srv, outcome, 2 * MS)))
+            case api.Log():
+                fleet.log_lines += 1
+
+    def final(self, req_id: int, what: str) -> None:
+        req = self.fleet.req_rows.get(req_id)
+        if req is None:
+            return
+        if req.vanished:
+            return
+        self.owed.pop(req_id, None)
+        req.finals += 1
+        if req.finals == 1:
+            req.final, req.final_at = what, self.fleet.engine.now
+            self.fleet.answered(req)
+
+
+class Clients:
+    """Open-loop arrivals by plan, hot callers, bursts and floods; clients that come again or leave early."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        s = fleet.scenario
+        self.factor = [1.0] * len(s.plans)
+        weights = [sum(f.share for f in s.frontends)]
+        self.fronts = list(accumulate(f.share / weights[0] for f in s.frontends))
+        self.customers: list[tuple[int, int]] = []  # (plan, first customer index)
+        self.weights: list[list[float]] = []
+        first = 0
+        for n, plan in enumerate(s.plans):
+            hot = round(plan.customers * plan.hot)
+            w = [plan.hot_demand if c < hot else plan.demand for c in range(plan.customers)]
+            self.weights.append(list(accumulate(w)))
+            self.customers.append((n, first))
+            first += plan.customers
+        self.total = first
+
+    def rate(self, plan: int) -> float:
+        """Reqs a second that a plan's customers ask now."""
+        s, now = self.fleet.scenario, self.fleet.engine.now
+        p, c = s.plans[plan], s.clients
+        burst = (
+            c.burst_factor if c.burst_for and c.burst_at * T <= now < (c.burst_at + c.burst_for) * T else 1.0
+        )
+        return self.weights[plan][-1] * p.rate * burst * self.factor[plan]
+
+    def take(self, note: object) -> None:
+        if self.fleet.engine.now >= self.fleet.scenario.seconds * T:
+            return  # the day's traffic is over; what was taken is still answered
+        if isinstance(note, Again):
+            return self.fleet.arrive(note.plan, note.customer, self.front(), True)
+        plan = note
+        assert isinstance(plan, int)
+        rng, fleet = self.fleet.rng, self.fleet
+        rate = self.rate(plan)
+        if rate > 0:
+            self.arrive(plan)
+        fleet.engine.post(max(1, round(rng.expovariate(max(rate, 0.1)) * T)), self, plan)
+
+    def arrive(self, plan: int) -> None:
+        w = self.weights[plan]
+        customer = self.customers[plan][1] + bisect(w, self.fleet.rng.random() * w[-1])
+        self.fleet.arrive(plan, customer, self.front(), False)
+
+    def front(self) -> int:
+        return bisect(self.fronts, self.fleet.rng.random() * self.fronts[-1] * 0.999999)
+
+    def denied(self, req: Req) -> None:
+        c = self.fleet.scenario.clients
+        if c.retry and self.fleet.rng.random() < c.retry:
+            wait = round(self.fleet.rng.expovariate(1 / max(1.0, c.retry_after_ms)) * MS)
+            self.fleet.engine.post(wait, self, Again(req.plan, req.customer))
+
+
+@dataclass(slots=True)
+class Again:
+    plan: int
+    customer: int
+
+
+class Sampler:
+    """Once a second: load against capacity over the servers that are up."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def take(self, note: object) -> None:
+        fleet = self.fleet
+        up = [s for s in fleet.servers if s.up]
+        fleet.history.load.append((float(sum(s.hand() for s in up)), float(sum(s.room() for s in up))))
+        fleet.engine.post(T, self, note)
+
+
+class Fleet:
+    """One run: builds the parts from a scenario, plays it and keeps its history."""
+
+    def __init__(self, scenario: sc.Scenario, make_policy: PolicyMaker, seed: int) -> None:
+        self.scenario, self.make_policy = scenario, make_policy
+        self.rng = Random(seed)
+        self.engine = Engine()
+        self.history = History()
+        self.log_lines = 0
+        f = scenario.fleet
+        self.zones = {z: n for n, z in enumerate(f.zones)}
+        self.cut: set[int] = set()
+        self.tip = max(1, round(1.0 * T))  # the rule's time: sent too much for a second
+        self.throughput = f.capacity / (self.mean_work() / 1000)  # reqs a second a warm server does
+        self.servers = [Server(self, n, n % len(f.zones), 0) for n in range(f.servers)]
+        self.counter = Counter(self)
+        self.discovery = Discovery(self)
+        self.limiters = [Limiter(self, n, n % len(f.zones)) for n in range(f.limiters)]
+        self.clients = Clients(self)
+        self.digests = [digest(f"customer-{c}") for c in range(self.clients.total)]
+        self.req_rows: dict[int, Req] = {}
+        self.dispatch_rows: dict[tuple[int, int], int] = {}
+        self.told_live: dict[int, set[int]] = {}
+        self.told_gone: dict[tuple[int, int], int] = {}
+        self.next_req = self.next_call = 0
+        self.quota: list[list[float]] = [[0.0, 0.0] for _ in range(self.clients.total)]  # true level, when
+        self.plan_of = [p for p, first in self.clients.customers for _ in range(scenario.plans[p].customers)]
+        for customer, plan in enumerate(self.plan_of):
+            self.quota[customer][0] = scenario.plans[plan].burst
+        self.shift: tuple[int, float] | None = None
+        self.oracle_buckets: dict[int, list[float]] = {}  # the oracle's one bucket a customer
+
+    def mean_work(self) -> float:
+        fronts = self.scenario.frontends
+        return sum(f.work_ms * f.share for f in fronts) / sum(f.share for f in fronts)
+
+    def settings_for(self, me: int, zone: int) -> api.Settings:
+        s, f = self.scenario, self.scenario.fleet
+        conf = Conf(
+            balancers=f.limiters,
+            me=me,
+            az=f.zones[zone],
+            zones=list(f.zones),
+            grades=[
+                Grade(
+                    name=g.name,
+                    effect=g.effect,
+                    on_time=g.response_target_ms,
+                    deadline=g.client_timeout_ms,
+                    points=g.value,
+                    group=g.group,
+                    repeat_window=g.repeat_window_ms,
+                )
+                for g in s.frontends
+            ],
+            plans=[
+                PlanConf(
+                    name=p.name,
+                    refill=p.rate,
+                    store_size=p.burst,
+                    ceiling_rate=p.ceiling_rate,
+                    cap_depth=p.ceiling_depth,
+                    ceiling_slack=p.ceiling_slack,
+                )
+                for p in s.plans
+            ],
+            allowed=Allowed(try_limit=f.try_limit),
+            specifics=Specifics(
+                has_counter=s.counter.present,
+                count_limit=s.counter.timeout_ms,
+                metering=s.counter.refresh_s * 1000,
+            ),
+            rules=Rules(
+                answer_slack=f.answer_slack_ms,
+                cold=f.cold_s * 1000,
+                cold_from=f.cold_from,
+                drain_grace=f.drain_grace_ms,
+                fall_multiple=f.fall_multiple,
+                tip_after=1000.0,
+            ),
+        )
+        return settings(conf, zone)
+
+    # the network -----------------------------------------------------------------------------------------
+
+    def delay(self, a: int, b: int) -> int | None:
+        """One way from zone a to zone b, or None where the note is lost."""
+        n = self.scenario.net
+        if a != b and (a in self.cut or b in self.cut):
+            return None
+        if n.loss and self.rng.random() < n.loss:
+            return None
+        base = n.delay_ms + (n.zone_delay_ms if a != b else 0.0) + self.rng.random() * n.jitter_ms
+        return max(1, round(base * MS))
+
+    # what limiters do ------------------------------------------------------------------------------------
+
+    def send(self, limiter: Limiter, act: api.Dispatch, n: int) -> None:
+        srv = self.servers[act.srv] if 0 <= act.srv < len(self.servers) else None
+        self.dispatch_rows[act.req, n] = len(self.history.dispatches)
+        self.history.dispatches.append([act.req, n, limiter.idx, act.srv, self.engine.now, -1])
+        req = self.req_rows.get(act.req)
+        if req is not None:
+            self.history.plan_second(self.engine.now, len(self.scenario.plans))[req.plan] += req.units
+        limiter.open[act.req, n] = act.srv
+        self.engine.at(act.expire, limiter, Expire(act.req, n, limiter.gen))
+        if srv is None:
+            self.engine.post(0, limiter, Reply(act.req, n, limiter.gen, act.srv, OC.NO_CONNECTION))
+            return
+        work = Work(act.req, n, limiter.idx, limiter.gen, req.frontend if req else 0)
+        there = self.delay(limiter.zone, srv.zone)
+        if there is None:
+            if srv.zone in self.cut or limiter.zone in self.cut:
+                self.engine.post(CONNECT, limiter, Reply(act.req, n, limiter.gen, act.srv, OC.NO_CONNECTION))
+            return
+        self.engine.post(there, srv, work)
+
+    def count(self, limiter: Limiter, act: api.Count) -> None:
+        self.next_call += 1
+        call = self.next_call
+        limiter.calls[call] = (act.name, act.step, self.engine.now)
+        timeout = round(self.scenario.counter.timeout_ms * MS)
+        self.engine.post(timeout, self, (limiter, call, limiter.gen))
+        there = self.delay(limiter.zone, 0)
+        if there is not None and self.scenario.counter.present:
+            self.engine.post(
+                there, self.counter, CountCall(limiter.idx, limiter.gen, call, act.name, act.step, act.keep)
+            )
+
+    def take(self, note: object) -> None:
+        """A count call's time is up: no answer."""
+        limiter, call, lgen = note
+        if limiter.gen == lgen and call in limiter.calls:
+            self.engine.post(0, limiter, CountReply(call, lgen, OC.NO_ANSWER, 0.0))
+
+    def ran(self, work: Work, srv: Server) -> None:
+        req = self.req_rows.get(work.req)
+        front = self.scenario.frontends[work.frontend]
+        group = {"all": 0, "zone": srv.zone, "cell": 0}[front.group]
+        window = round(front.repeat_window_ms * MS)
+        self.history.runs.append((work.req, srv.srv, self.engine.now, front.effect, group, window))
+        if req is not None:
+            self.history.used.append((req.customer, req.plan, self.engine.now, req.units))
+
+    def leaving(self, limiter: int, srv: int) -> None:
+        if (limiter, srv) not in self.told_gone:
+            self.told_gone[limiter, srv] = len(self.history.told_leaving)
+            self.history.told_leaving.append([limiter, srv, self.engine.now, 1 << 62])
+
+    def back(self, limiter: int, srv: int) -> None:
+        """Told that a server is live again: the rule's grace no longer runs for it."""
+        if (row := self.told_gone.pop((limiter, srv), None)) is not None:
+            self.history.told_leaving[row][3] = self.engine.now
+
+    # what clients do -------------------------------------------------------------------------------------
+
+    def arrive(self, plan: int, customer: int, front: int, retry: bool) -> None:
+        s, now = self.scenario, self.engine.now
+        live = [lim for lim in self.limiters if lim.alive]
+        if not live:
+            return
+        zone = customer % len(s.fleet.zones)
+        if self.shift is not None and self.rng.random() < self.shift[1]:
+            zone = self.shift[0]
+        here = [lim for lim in live if lim.zone == zone] or live
+        limiter = here[self.rng.randrange(len(here))]
+        p, g = s.plans[plan], s.frontends[front]
+        held = self.quota[customer]
+        held[0], held[1] = min(p.burst, held[0] + p.rate * (now - held[1]) / T), now
+        inside = held[0] >= 1.0
+        held[0] -= 1.0 if inside else 0.0
+        self.next_req += 1
+        timeout = round(g.client_timeout_ms * MS)
+        req = Req(
+            self.next_req, limiter.idx, customer, plan, front, now, now + timeout, 1.0, g.value, inside, retry
+        )
+        self.history.reqs.append(req)
+        self.req_rows[req.req] = req
+        row = self.history.second(now)
+        row[5] += req.worth if inside else 0.0
+        self.engine.post(self.delay(limiter.zone, limiter.zone) or 1, limiter, Come(req))
+        c = s.clients
+        if c.give_up and self.rng.random() < c.give_up:
+            self.engine.post(round(self.rng.random() * timeout), limiter, Leave(req.req, limiter.gen))
+
+    def answered(self, req: Req) -> None:
+        g = self.scenario.frontends[req.frontend]
+        row = self.history.second(self.engine.now)
+        if req.final == PASSED:
+            req.took = self.engine.now - req.arrived
+            if req.took <= g.response_target_ms * MS:
+                row[0] += 1
+                row[4] += req.worth if req.inside else 0.0
+        elif req.final == DENIED:
+            row[1] += 1
+        else:
+            row[2] += 1
+
+    # servers' lives --------------------------------------------------------------------------------------
+
+    def crash(self, srv: Server, back_after: int) -> None:
+        srv.crash()
+        if back_after >= 0:
+            self.engine.post(back_after, self.life, ("back", srv.srv))
+
+    def restart(self, srv: Server) -> None:
+        if srv.fallen:
+            return  # it stays down
+        srv.up, srv.booted, srv.phase = True, max(1, self.engine.now), api.Phase.LIVE
+        self.discovery.tell((srv.entry(),), False)
+
+    def replace(self, srv: Server) -> None:
+        """A drained server leaves; a new one, cold, takes its place under a new name."""
+        srv.phase = api.Phase.GONE
+        srv.crash()
+        new = Server(self, len(self.servers), srv.zone, max(1, self.engine.now))
+        self.servers.append(new)
+        self.discovery.tell((srv.entry(), new.entry()), False)
+
+    @property
+    def life(self) -> Life:
+        return self._life
+
+    def play(self) -> History:
+        """Plays the whole scenario; the history is the run's result."""
+        s = self.scenario
+        self._life = Life(self)
+        for limiter in self.limiters:
+            limiter.start()
+            self.told_live[limiter.idx] = {srv.srv for srv in self.servers}
+        for plan in range(len(s.plans)):
+            self.engine.post(self.rng.randrange(T // 10), self.clients, plan)
+        self.engine.post(WHOLE_EVERY, self.discovery, "whole")
+        self.engine.post(T, Sampler(self), "sample")
+        for n, fault in enumerate(s.faults):
+            self.engine.at(round(fault.at * T), self._life, ("fault", n))
+        self.engine.run(round(s.seconds * T))
+        # the clients that are still waiting: their limiter has this long to answer
+        self.engine.run(round(s.seconds * T) + max(round(f.client_timeout_ms * MS) for f in s.frontends) + T)
+        return self.history
+
+
+class Life:
+    """The timeline's faults, and servers coming back."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def pick(self, among: list, share: float) -> list:
+        k = min(len(among), max(1, round(len(among) * share))) if share > 0 else 0
+        return self.fleet.rng.sample(among, k)
+
+    def take(self, note: object) -> None:
+        fleet = self.fleet
+        what, n = note
+        if what == "back":
+            fleet.restart(fleet.servers[n])
+            return
+        if what == "leave":
+            fleet.replace(fleet.servers[n])
+            return
+        if what == "end":
+            return self.end(fleet.scenario.faults[n])
+        fault = fleet.scenario.faults[n]
+        span = round(fault.for_s * T)
+        if fault.for_s > 0:
+            fleet.engine.post(span, self, ("end", n))
+        up = [s for s in fleet.servers if s.up and s.phase is api.Phase.LIVE]
+        match fault.kind:
+            case "kill_limiters":
+                for lim in self.pick([x for x in fleet.limiters if x.alive], fault.share):
+                    lim.kill()
+            case "crash_servers":
+                for srv in self.pick(up, fault.share):
+                    fleet.crash(srv, span if fault.for_s > 0 else -1)
+            case "drain_servers":
+                for srv in self.pick(up, fault.share):
+                    srv.phase = api.Phase.DRAINING
+                    fleet.discovery.tell((srv.entry(),), False)
+                    fleet.engine.post(
+                        2 * round(fleet.scenario.fleet.drain_grace_ms * MS), self, ("leave", srv.srv)
+                    )
+            case "slow_servers":
+                self.hit = self.pick(up, fault.share)
+                for srv in self.hit:
+                    srv.slow = fault.factor
+            case "fail_servers":
+                for srv in self.pick(up, fault.share):
+                    srv.failing_until = fleet.engine.now + span
+            case "bad_release":
+                for srv in self.pick(up, fault.share):
+                    srv.crash()
+                    fleet.restart(srv)
+                    srv.failing_until = fleet.engine.now + span
+            case "lose_zone":
+                zone = fleet.zones[fault.zone]
+                for srv in [s for s in up if s.zone == zone]:
+                    fleet.crash(srv, span if fault.for_s > 0 else -1)
+            case "cut_zone":
+                fleet.cut.add(fleet.zones[fault.zone])
+            case "counter_down":
+                fleet.counter.down_until = fleet.engine.now + span
+            case "counter_slow":
+                fleet.counter.slow = fault.factor
+            case "counter_wipe":
+                fleet.counter.parts = [{} for _ in fleet.counter.parts]
+            case "counter_split":
+                fleet.counter.split(fault.parts)
+            case "late_lists":
+                fleet.discovery.extra = round(fault.factor * T)
+            case "partial_lists":
+                fleet.discovery.partial = fault.share
+            case "flood_plan":
+                fleet.clients.factor[[p.name for p in fleet.scenario.plans].index(fault.plan)] = fault.factor
+            case "shift_zone":
+                fleet.shift = (fleet.zones[fault.zone], fault.share)
+
+    def end(self, fault: sc.Fault) -> None:
+        fleet = self.fleet
+        match fault.kind:
+            case "kill_limiters":
+                for lim in fleet.limiters:
+                    if not lim.alive:
+                        lim.start()
+            case "slow_servers":
+                for srv in getattr(self, "hit", []):
+                    srv.slow = 1.0
+            case "cut_zone":
+                fleet.cut.discard(fleet.zones[fault.zone])
+            case "counter_slow":
+                fleet.counter.slow = 1.0
+            case "counter_split":
+                fleet.counter.join()
+            case "late_lists":
+                fleet.discovery.extra = 0
+            case "partial_lists":
+                fleet.discovery.partial = 1.0
+            case "flood_plan":
+                fleet.clients.factor[[p.name for p in fleet.scenario.plans].index(fault.plan)] = 1.0
+            case "shift_zone":
+                fleet.shift = None
--- /dev/null
+++ b/loomstand/lab/runner.py
@@ -0,0 +1,191 @@
+"""Plays a scenario with the module and its baselines, checks the rules and sums up; sweeps over values.
+
+A summary is a plain JSON-able dict; its `digest` is the SHA-256 of its canonical JSON without wall times, so
+the same scenario and seed give the same digest on any machine with the same versions.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from loomstand import interface as api
+from loomstand.brain import Brain
+from loomstand.lab import scenario as sc
+from loomstand.lab.baselines import POLICIES
+from loomstand.lab.checker import NAMES, Verdict, check
+from loomstand.lab.fleet import Fleet, Policy, PolicyMaker
+from loomstand.lab.history import DENIED, PASSED, History
+
+MS = api.TENTHS_PER_S // 1000
+
+
+def brain(fleet: Fleet, me: int, settings: api.Settings, seed: int) -> Policy:
+    """The module itself, made as the adapter makes it."""
+    return Brain(settings, seed, fleet.engine.now)
+
+
+MAKERS: dict[str, PolicyMaker] = {"brain": brain, **POLICIES}
+
+
+@dataclass(slots=True)
+class Played:
+    """One policy's run of a scenario."""
+
+    policy: str
+    history: History
+    verdict: Verdict
+    summary: dict
+    events: int
+    wall: float
+
+
+def play(scenario: sc.Scenario, policy: str, seed: int, maker: PolicyMaker | None = None) -> Played:
+    """One run. `maker` stands in for the named policy (tests give faulty ones)."""
+    fleet = Fleet(scenario, maker or MAKERS[policy], seed)
+    began = time.perf_counter()
+    history = fleet.play()
+    wall = time.perf_counter() - began
+    verdict = check(history, scenario)
+    return Played(policy, history, verdict, summarise(fleet, history, verdict), fleet.engine.events, wall)
+
+
+def summarise(fleet: Fleet, history: History, verdict: Verdict) -> dict:
+    s = fleet.scenario
+    taken = [r for r in history.reqs if not r.orphaned]
+    counts = {"taken": len(taken), "passed": 0, "denied": 0, "aborted": 0, "unanswered": 0, "vanished": 0}
+    latency = HdrHistogram(1, 60_000, 3)  # 0.1 ms to 6 s, three digits
+    worth = offered = beyond = 0.0
+    for r in taken:
+        offered += r.worth if r.inside else 0.0
+        if r.vanished:
+            counts["vanished"] += 1
+        elif not r.final:
+            counts["unanswered"] += 1
+        else:
+            counts[r.final] += 1
+        if r.final == PASSED:
+            latency.record_value(max(1, r.took))
+            if r.took <= s.frontends[r.frontend].response_target_ms * MS:
+                worth += r.worth if r.inside else 0.0
+                beyond += 0.0 if r.inside else r.worth
+    plans = []
+    for n, p in enumerate(s.plans):
+        mine = [r for r in taken if r.plan == n]
+        plans.append(
+            {
+                "plan": p.name,
+                "quota_per_s": p.rate * p.customers,
+                "asked_per_s": len(mine) / s.seconds,
+                "passed_per_s": sum(r.final == PASSED for r in mine) / s.seconds,
+                "denied_inside": sum(r.final == DENIED and r.inside for r in mine),
+                "passed_beyond": sum(r.final == PASSED and not r.inside for r in mine),
+            }
+        )
+    g = worth / offered if offered else 0.0
+    return {
+        "policy": "",
+        "counts": counts,
+        "G": round(g, 6),
+        "denied_share": round(counts["denied"] / max(1, counts["taken"]), 6),
+        "beyond_quota_worth": round(beyond / offered if offered else 0.0, 6),
+        "latency_ms": {f"p{q}": latency.get_value_at_percentile(q) / MS for q in (50, 90, 99, 99.9)},
+        "plans": plans,
+        "rules": {str(rule): n for rule, n in verdict.by_rule().items()},
+        "breaks": [msgspec.to_builtins(b) for b in verdict.first()],
+        "policy_crashes": len(history.broken),
+        "crashes": [f"limiter {lim}: {what}" for lim, what in history.broken[:5]],
+        "held": verdict.held and not history.broken,
+        "falls": len(history.falls),
+        "log_lines": fleet.log_lines,
+    }
+
+
+def run(
+    scenario: sc.Scenario, seed: int | None = None, progress: Callable[[str], None] | None = None
+) -> dict:
+    """The module (or the scenario's policy) and each baseline on the same scenario and seed."""
+    seed = scenario.seed if seed is None else seed
+    runs: dict[str, Played] = {}
+    for policy in dict.fromkeys([scenario.policy, *scenario.baselines]):
+        if progress:
+            progress(policy)
+        runs[policy] = play(scenario, policy, seed)
+    main = runs[scenario.policy]
+    oracle = runs.get("oracle")
+    report = {
+        "scenario": scenario.name,
+        "seed": seed,
+        "limiters": scenario.fleet.limiters,
+        "servers": scenario.fleet.servers,
+        "seconds": scenario.seconds,
+        "policy": scenario.policy,
+        "held": main.summary["held"],
+        "G_over_oracle": round(main.summary["G"] / oracle.summary["G"], 6)
+        if oracle and oracle.summary["G"]
+        else None,
+        "runs": {},
+        "series": {},
+    }
+    for name, played in runs.items():
+        played.summary["policy"] = name
+        report["runs"][name] = played.summary
+        report["series"][name] = {
+            "seconds": played.history.seconds,
+            "admitted": played.history.admitted,
+            "load": played.history.load,
+        }
+    report["digest"] = digest(report)
+    report["wall_s"] = {name: round(p.wall, 3) for name, p in runs.items()}
+    report["events"] = {name: p.events for name, p in runs.items()}
+    report["events_per_s"] = {name: round(p.events / max(p.wall, 1e-9)) for name, p in runs.items()}
+    return report
+
+
+def digest(report: dict) -> str:
+    """SHA-256 of the canonical JSON of what the run found, wall times left out."""
+    kept = {k: v for k, v in report.items() if k not in ("digest", "wall_s", "events_per_s")}
+    return hashlib.sha256(msgspec.json.encode(kept, order="sorted")).hexdigest()
+
+
+def values(text: str) -> tuple[str, list[object]]:
+    """`key=v1,v2,...` as the key and its values, numbers where they read as numbers."""
+    key, sep, rest = text.partition("=")
+    if not sep or not key or not rest:
+        raise sc.ScenarioError(f"--set '{text}': wanted KEY=V1,V2,...")
+    out: list[object] = []
+    for v in rest.split(","):
+        try:
+            out.append(int(v))
+        except ValueError:
+            try:
+                out.append(float(v))
+            except ValueError:
+                out.append(v)
+    return key, out
+
+
+def _point(args: tuple[dict, dict, int | None]) -> dict:
+    table, sets, seed = args
+    return run(sc.from_table(sc.with_values(table, sets)), seed)
+
+
+def sweep(table: dict, key: str, vals: list[object], seed: int | None, workers: int) -> list[dict]:
+    """One run a value of `key`, in parallel processes; each point checked as its own scenario first."""
+    points = [(table, {key: v}, seed) for v in vals]
+    for _, sets, _ in points:
+        sc.from_table(sc.with_values(table, sets))  # a bad value is named before anything runs
+    if workers <= 1 or len(points) == 1:
+        return [_point(p) for p in points]
+    with ProcessPoolExecutor(max_workers=min(workers, len(points))) as pool:
+        return list(pool.map(_point, points))
+
+
+def rule_names() -> dict[int, str]:
+    return dict(NAMES)
--- /dev/null
+++ b/loomstand/lab/scenario.py
@@ -0,0 +1,214 @@
+"""A lab scenario: the fleet, its traffic and a timeline of faults, read from TOML and checked.
+
+Times in a scenario file are seconds (floats) or milliseconds where the key ends in `_ms`; the model works in
+the interface's tenths of a millisecond. Every key is checked by msgspec; a fault names the key at fault, with
+its path, as `ScenarioError("key 'faults[2].share': ...")`.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, Meta(gt=0.0)]
+Seconds = Annotated[float, Meta(ge=0.0)]
+Count = Annotated[int, Meta(ge=0)]
+
+
+class ScenarioError(ValueError):
+    """A scenario that can't be played; the message names the key."""
+
+
+class Struct(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A table of the scenario: unknown keys are refused, so a misspelt key names itself."""
+
+
+class Frontend(Struct):
+    """A class of reqs, as the bench's settings call a grade."""
+
+    name: str
+    effect: Literal["pure", "token", "side_effect"] = "pure"
+    response_target_ms: Positive = 300.0
+    client_timeout_ms: Positive = 1000.0
+    value: Positive = 1.0
+    group: Literal["all", "zone", "cell"] = "all"
+    repeat_window_ms: Seconds = 0.0
+    share: Positive = 1.0  # of the traffic, against the other frontends' shares
+    work_ms: Positive = 20.0  # mean service time at a warm server with nothing else to do
+
+
+class Plan(Struct):
+    """A plan: the quota of each of its customers over all limiters, and how many customers use it."""
+
+    name: str
+    rate: Positive  # units a second, per customer
+    burst: Positive  # units
+    customers: Annotated[int, Meta(ge=1)] = 10
+    demand: Positive = 1.0  # what a customer asks, as a multiple of its rate
+    ceiling_rate: Seconds = 0.0  # a hard ceiling, units a second; 0 for none
+    ceiling_depth: Seconds = 0.0
+    ceiling_slack: Seconds = 0.0
+    hot: Share = 0.0  # share of its customers that ask at `hot_demand` instead
+    hot_demand: Positive = 5.0
+
+
+class Fleet(Struct):
+    """Limiters, servers and zones."""
+
+    limiters: Annotated[int, Meta(ge=1)] = 10
+    servers: Annotated[int, Meta(ge=1)] = 10
+    zones: list[str] = msgspec.field(default_factory=lambda: ["a"])
+    capacity: Annotated[int, Meta(ge=1)] = 8  # reqs a server works on at once
+    queue: Count = 16  # reqs it holds beyond those before it turns new ones away
+    cold_s: Seconds = 10.0  # how long a new server is cold
+    cold_from: Share = 0.3  # the share of its capacity it has when it starts
+    fall_multiple: Positive = 2.0  # a cold server falls with more than this times its cold capacity in hand
+    drain_grace_ms: Seconds = 500.0
+    try_limit: Annotated[int, Meta(ge=1)] = 2
+    answer_slack_ms: Seconds = 50.0
+
+
+class Net(Struct):
+    """The network between the parts: one-way delay and loss."""
+
+    delay_ms: Seconds = 0.5
+    jitter_ms: Seconds = 0.2
+    zone_delay_ms: Seconds = 2.0  # added between zones
+    loss: Share = 0.0
+
+
+class Counter(Struct):
+    """The shared counter."""
+
+    present: bool = True
+    latency_ms: Seconds = 2.0
+    timeout_ms: Positive = 100.0
+    refresh_s: Positive = 1.0  # the metering period the limiters are told
+
+
+class Clients(Struct):
+    """How clients behave beyond their arrival rate."""
+
+    retry: Share = 0.0  # share of denied reqs whose client comes again
+    retry_after_ms: Seconds = 200.0
+    give_up: Share = 0.0  # share of reqs whose client leaves before its timeout
+    burst_at: Seconds = 0.0  # when a burst of `burst_factor` times the demand begins; 0 for none
+    burst_for: Seconds = 0.0
+    burst_factor: Positive = 1.5
+
+
+Kind = Literal[
+    "kill_limiters",  # share of limiters stop at once; back after `for_s` if it is above 0, with nothing kept
+    "crash_servers",  # share of servers crash; back cold after `for_s` if it is above 0
+    "drain_servers",  # share of servers are told to drain, then leave after the grace, replaced cold
+    "slow_servers",  # share of servers work `factor` times slower for `for_s`
+    "fail_servers",  # share of servers answer with an error for `for_s`
+    "bad_release",  # share of servers restart cold and then fail for `for_s`
+    "lose_zone",  # all servers of `zone` crash; back cold after `for_s`
+    "cut_zone",  # the network to and from `zone` is cut for `for_s`
+    "counter_down",  # the counter answers nothing for `for_s`
+    "counter_slow",  # the counter takes `factor` times its latency for `for_s`
+    "counter_wipe",  # the counter forgets every total
+    "counter_split",  # the counter splits into `parts` that don't see each other's adds, for `for_s`
+    "late_lists",  # discovery's lists come `factor` seconds late for `for_s`
+    "partial_lists",  # discovery lists only `share` of the servers for `for_s`
+    "flood_plan",  # one plan's customers ask `factor` times their demand for `for_s`
+    "shift_zone",  # `share` of the traffic moves to limiters of `zone` for `for_s`
+]
+
+
+class Fault(Struct):
+    """One step of the timeline."""
+
+    at: Seconds
+    kind: Kind
+    share: Share = 0.1
+    for_s: Seconds = 0.0
+    factor: Positive = 2.0
+    zone: str = ""
+    plan: str = ""
+    parts: Annotated[int, Meta(ge=2)] = 2
+
+
+class Scenario(Struct):
+    """A whole scenario."""
+
+    name: str
+    seconds: Positive = 30.0
+    seed: int = 0
+    policy: Literal["brain", "naive", "oracle"] = "brain"
+    baselines: list[Literal["naive", "oracle"]] = msgspec.field(default_factory=lambda: ["naive", "oracle"])
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    net: Net = msgspec.field(default_factory=Net)
+    counter: Counter = msgspec.field(default_factory=Counter)
+    clients: Clients = msgspec.field(default_factory=Clients)
+    frontends: Annotated[list[Frontend], Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: [Frontend(name="look")]
+    )
+    plans: Annotated[list[Plan], Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: [Plan(name="basic", rate=10.0, burst=20.0)]
+    )
+    faults: list[Fault] = msgspec.field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        names = [p.name for p in self.plans]
+        for n, fault in enumerate(self.faults):
+            if fault.zone and fault.zone not in self.fleet.zones:
+                raise ScenarioError(f"key 'faults[{n}].zone': '{fault.zone}' is not in fleet.zones")
+            if fault.kind in ("lose_zone", "cut_zone", "shift_zone") and not fault.zone:
+                raise ScenarioError(f"key 'faults[{n}].zone': {fault.kind} needs a zone")
+            if fault.kind == "flood_plan" and fault.plan not in names:
+                raise ScenarioError(f"key 'faults[{n}].plan': '{fault.plan}' is not a plan of this scenario")
+        if len(set(names)) != len(names):
+            raise ScenarioError("key 'plans': two plans have the same name")
+
+
+def parse(raw: str | bytes, source: str = "scenario") -> Scenario:
+    """The scenario in a TOML text. Raises ScenarioError naming the key."""
+    text = raw.decode() if isinstance(raw, bytes) else raw
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as why:
+        raise ScenarioError(f"{source} is not TOML: {why}") from None
+    return from_table(table)
+
+
+def from_table(table: dict) -> Scenario:
+    """The scenario in a table as TOML reads it. Raises ScenarioError naming the key."""
+    try:
+        return msgspec.convert(table, type=Scenario)
+    except msgspec.ValidationError as why:
+        what, _, where = str(why).partition(" - at `$")
+        where = where.rstrip("`").lstrip(".")
+        if "unknown field" in what or "missing required field" in what:
+            field = what.rpartition(" ")[2].strip("`")
+            where = ".".join(filter(None, [where, field]))
+        raise ScenarioError(f"key '{where or '(top)'}': {what}") from None
+
+
+def load(path: str) -> Scenario:
+    """The scenario in a file. Raises ScenarioError naming the file or the key."""
+    try:
+        with open(path, "rb") as file:
+            raw = file.read()
+    except OSError as why:
+        raise ScenarioError(f"{path}: {why.strerror}") from None
+    return parse(raw, path)
+
+
+def with_values(table: dict, sets: dict[str, object]) -> dict:
+    """A copy of a scenario table with dotted keys set, for sweeps: {'fleet.limiters': 100}."""
+    out = msgspec.json.decode(msgspec.json.encode(table))
+    for key, value in sets.items():
+        place, *path = key.split(".")
+        here = out
+        for part in [place, *path][:-1]:
+            here = here.setdefault(part, {})
+            if not isinstance(here, dict):
+                raise ScenarioError(f"key '{key}': '{part}' is not a table")
+        here[[place, *path][-1]] = value
+    return out
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,210 @@
+"""The lab: its checker names each rule broken on purpose, runs are deterministic, scenarios name bad keys."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from loomstand import interface as api
+from loomstand.cli import main
+from loomstand.lab import runner
+from loomstand.lab import scenario as sc
+from loomstand.lab.baselines import Naive
+
+EXAMPLES = Path(__file__).parent.parent / "examples" / "lab"
+
+
+def small(**over) -> sc.Scenario:
+    table = {
+        "name": "t",
+        "seconds": 3,
+        "baselines": [],
+        "fleet": {"limiters": 3, "servers": 4},
+        "frontends": [{"name": "look"}],
+        "plans": [{"name": "basic", "rate": 5, "burst": 10, "customers": 10}],
+    }
+    table.update(over)
+    return sc.from_table(table)
+
+
+def broken(scenario: sc.Scenario, policy) -> set[int]:
+    played = runner.play(scenario, "faulty", 1, lambda fleet, me, told, seed: policy(fleet, me, told, seed))
+    return {b.rule for b in played.verdict.breaks}
+
+
+class Silent(Naive):
+    """Rule 1: every third req is never answered, every fifth answered twice."""
+
+    def handle(self, now, note):
+        if isinstance(note, api.Arrived):
+            if note.req % 3 == 0:
+                return []
+            if note.req % 5 == 0:
+                return [api.Deny(note.req), api.Deny(note.req)]
+        return super().handle(now, note)
+
+
+class Twice(Naive):
+    """Rule 2: a non-replayable req is sent again after its first dispatch ran."""
+
+    def handle(self, now, note):
+        if isinstance(note, api.Arrived):
+            return [api.Dispatch(note.req, self.live[0], note.give_up)]
+        if isinstance(note, api.Ended) and note.dispatch == 0:
+            return [api.Dispatch(note.req, self.live[1], now + 10_000)]
+        if isinstance(note, api.Ended):
+            return [] if note.final else [api.Abort(note.req)]
+        return super().handle(now, note)
+
+
+class Deaf(Naive):
+    """Rule 3: keeps the first list it was given and sends on to servers it was told are draining."""
+
+    def handle(self, now, note):
+        if isinstance(note, api.Listed) and self.live:
+            return []
+        return super().handle(now, note)
+
+
+class One(Naive):
+    """Rule 4: everything to server 0, however cold."""
+
+    def handle(self, now, note):
+        if isinstance(note, api.Arrived):
+            return [api.Dispatch(note.req, 0, note.give_up)]
+        return super().handle(now, note)
+
+
+class Open(Naive):
+    """Rule 5: no quota at all."""
+
+    def handle(self, now, note):
+        if isinstance(note, api.Arrived):
+            return [api.Dispatch(note.req, self.live[note.req % len(self.live)], note.give_up)]
+        return super().handle(now, note)
+
+
+def test_rule_1_unanswered_and_twice_answered_are_named():
+    scenario = small()
+    played = runner.play(scenario, "faulty", 1, Silent)
+    whats = {b.what for b in played.verdict.breaks if b.rule == 1}
+    assert {"no final answer", "2 final answers"} <= whats
+    assert all(b.req > 0 and b.limiter >= 0 for b in played.verdict.breaks)
+
+
+class Raising(Naive):
+    def handle(self, now, note):
+        if isinstance(note, api.Arrived) and note.req == 4:
+            raise KeyError("made to fail")
+        return super().handle(now, note)
+
+
+def test_a_policy_that_raises_is_a_crash_and_fails_the_run():
+    played = runner.play(small(), "faulty", 1, Raising)
+    assert played.history.broken and "made to fail" in played.history.broken[0][1]
+    assert not played.summary["held"]
+
+
+def test_rule_2_a_non_replayable_sent_again_after_it_ran():
+    scenario = small(frontends=[{"name": "book", "effect": "side_effect"}])
+    assert 2 in broken(scenario, Twice)
+
+
+def test_rule_3_dispatches_to_a_draining_server_past_the_grace():
+    scenario = small(
+        seconds=4,
+        faults=[{"at": 1, "kind": "drain_servers", "share": 0.5}],
+        fleet={"limiters": 3, "servers": 4, "drain_grace_ms": 200},
+    )
+    assert 3 in broken(scenario, Deaf)
+
+
+def test_rule_4_a_cold_server_pushed_over():
+    scenario = small(
+        seconds=4,
+        fleet={"limiters": 3, "servers": 2, "queue": 400},
+        plans=[{"name": "basic", "rate": 10, "burst": 20, "customers": 60}],
+        faults=[{"at": 1, "kind": "crash_servers", "share": 1.0, "for_s": 0.5}],
+    )
+    assert 4 in broken(scenario, One)
+
+
+def test_rule_5_a_ceiling_passed():
+    scenario = small(
+        plans=[
+            {
+                "name": "atelier",
+                "rate": 5,
+                "burst": 5,
+                "customers": 3,
+                "demand": 4,
+                "ceiling_rate": 5,
+                "ceiling_depth": 5,
+                "ceiling_slack": 2,
+            }
+        ]
+    )
+    assert 5 in broken(scenario, Open)
+
+
+def test_the_module_keeps_every_rule_through_faults():
+    report = runner.run(sc.load(str(EXAMPLES / "small.toml")))
+    assert report["held"], report["runs"]["brain"]["breaks"]
+    assert 0.0 < report["G_over_oracle"] <= 1.05
+    assert report["runs"]["brain"]["counts"]["unanswered"] == 0
+
+
+def test_same_scenario_and_seed_same_digest():
+    scenario = small(faults=[{"at": 1, "kind": "kill_limiters", "share": 0.5, "for_s": 1}])
+    a, b, c = runner.run(scenario, 7), runner.run(scenario, 7), runner.run(scenario, 8)
+    assert a["digest"] == b["digest"] != c["digest"]
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"fleet": {"limitres": 3}}, "fleet.limitres"),
+        ({"faults": [{"at": 1, "kind": "crash_servers", "share": 2}]}, "faults[0].share"),
+        ({"faults": [{"at": 1, "kind": "lose_zone"}]}, "faults[0].zone"),
+        ({"faults": [{"at": 1, "kind": "flood_plan", "plan": "gold"}]}, "faults[0].plan"),
+    ],
+)
+def test_a_bad_key_names_itself(change, key):
+    with pytest.raises(sc.ScenarioError, match=rf"key '{key.replace('[', '.').replace(']', '.')}'"):
+        small(**change)
+
+
+def test_the_command_line_runs_and_plots(tmp_path):
+    out = tmp_path / "run"
+    result = CliRunner().invoke(
+        main, ["lab", "run", str(EXAMPLES / "small.toml"), "--out", str(out), "--plot"]
+    )
+    assert result.exit_code == 0, result.output
+    assert {p.name for p in out.iterdir()} >= {"report.json", "goodput.png", "plans.png", "load.png"}
+    bad = tmp_path / "bad.toml"
+    bad.write_text('name = "x"\nsecond = 3\n')
+    result = CliRunner().invoke(main, ["lab", "run", str(bad)])
+    assert result.exit_code == 1 and "key 'second'" in result.output
+
+
+def test_a_sweep_writes_a_point_a_value(tmp_path):
+    scenario = tmp_path / "s.toml"
+    scenario.write_text('name = "s"\nseconds = 2\nbaselines = ["oracle"]\n')
+    result = CliRunner().invoke(
+        main,
+        [
+            "lab",
+            "sweep",
+            str(scenario),
+            "--set",
+            "fleet.limiters=1,3",
+            "--out",
+            str(tmp_path / "sw"),
+            "--workers",
+            "1",
+        ],
+    )
+    assert result.exit_code == 0, result.output
+    assert (tmp_path / "sw" / "sweep.png").exists() and (tmp_path / "sw" / "point-1" / "report.json").exists()
