--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements run by hand, never in CI."""
--- a/benchmarks/lab_scale.py
+++ b/benchmarks/lab_scale.py
@@ -4,7 +4,7 @@
 so each limiter sees about 20 reqs a second at every size, as on a mass day, and a cost linear in limiters
 shows as a flat `us a req`. Only the module is played (no baselines). Not a timed test: run by hand,
 
-    .venv/bin/python benchmarks/lab_scale.py 10 100 1000 --seconds 60 --json scale.json
+    .venv/bin/python -m benchmarks.lab_scale 10 100 1000 --seconds 60 --json scale.json
 
 Each size runs in a process of its own, at the same time.
 """
@@ -23,14 +23,18 @@
 
 def one(args: tuple[int, float]) -> dict:
     limiters, seconds = args
-    scenario = sc.from_table({
-        "name": f"scale-{limiters}",
-        "seconds": seconds,
-        "baselines": [],
-        "fleet": {"limiters": limiters, "servers": max(2, limiters // 2), "zones": ["a", "b", "c"]},
-        "frontends": [{"name": "quote", "response_target_ms": 400, "client_timeout_ms": 1500, "work_ms": 40}],
-        "plans": [{"name": "basic", "rate": 2, "burst": 6, "customers": 10 * limiters}],
-    })
+    scenario = sc.from_table(
+        {
+            "name": f"scale-{limiters}",
+            "seconds": seconds,
+            "baselines": [],
+            "fleet": {"limiters": limiters, "servers": max(2, limiters // 2), "zones": ["a", "b", "c"]},
+            "frontends": [
+                {"name": "quote", "response_target_ms": 400, "client_timeout_ms": 1500, "work_ms": 40}
+            ],
+            "plans": [{"name": "basic", "rate": 2, "burst": 6, "customers": 10 * limiters}],
+        }
+    )
     began = time.perf_counter()
     played = runner.play(scenario, "brain", 1)
     wall = time.perf_counter() - began
--- a/loomstand/lab/runner.py
+++ b/loomstand/lab/runner.py
@@ -72,9 +72,10 @@
             counts[r.final] += 1
         if r.final == PASSED:
             latency.record_value(max(1, r.took))
-            if r.took <= s.frontends[r.frontend].response_target_ms * MS:
-                worth += r.worth if r.inside else 0.0
-                beyond += 0.0 if r.inside else r.worth
+            if r.inside and r.took <= s.frontends[r.frontend].response_target_ms * MS:
+                worth += r.worth
+            elif not r.inside:  # served beyond its quota: priced, in time or not
+                beyond += r.worth * s.plans[r.plan].excess_cost
     plans = []
     for n, p in enumerate(s.plans):
         mine = [r for r in taken if r.plan == n]
@@ -88,7 +89,7 @@
                 "passed_beyond": sum(r.final == PASSED and not r.inside for r in mine),
             }
         )
-    g = worth / offered if offered else 0.0
+    g = (worth - beyond) / offered if offered else 0.0
     return {
         "policy": "",
         "counts": counts,
--- a/loomstand/lab/scenario.py
+++ b/loomstand/lab/scenario.py
@@ -52,6 +52,7 @@
     ceiling_rate: Seconds = 0.0  # a hard ceiling, units a second; 0 for none
     ceiling_depth: Seconds = 0.0
     ceiling_slack: Seconds = 0.0
+    excess_cost: Seconds = 1.0  # what a req passed beyond its customer's quota costs, times its worth
     hot: Share = 0.0  # share of its customers that ask at `hot_demand` instead
     hot_demand: Positive = 5.0
 
