--- a/benchmarks/lab_calibrate.py
+++ b/benchmarks/lab_calibrate.py
@@ -181,10 +181,10 @@
         counts["taken"] += 1
         raw = (f"GET /{g.name}?account={customer:016x} HTTP/1.1\r\nHost: x\r\nRequest-Id: {n}\r\n"
                f"Request-Class: {g.name}\r\nX-Tier: {p.name}\r\n"
-               f"Request-Timeout-Ms: {g.client_timeout_ms:.0f}\r\nContent-Length: 0\r\n\r\n").encode()  # fmt: skip
+               f"Request-Timeout-Ms: {g.client_timeout_ms:.0f}\r\nContent-Length: 0\r\n\r\n")  # fmt: skip
         try:
             reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(raw)
+            writer.write(raw.encode())
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), g.client_timeout_ms / 1000 + 0.5)
             writer.close()
         except (TimeoutError, OSError, asyncio.IncompleteReadError):
