Lab: arrivals above 10,000 a second kept, queue histogram, every fault kind under test

Cause: the scale script's 1,000-limiter run took 567,323 reqs where 1.2 million were asked; the clients' next arrival was rounded up to one tenth of a millisecond, so one plan never drew more than 10,000 a second.

Change: each plan's next arrival is held in fractions of a tenth and all that fall due in one tenth come in it. Servers record the queue each dispatch finds on an HdrHistogram (queue_found in the report). One test a fault kind plays it on a small fleet with the module and wants every rule held and no crash.

--- a/loomstand/lab/fleet.py
+++ b/loomstand/lab/fleet.py
@@ -18,6 +18,8 @@
 from math import ceil
 from random import Random
 
+from hdrh.histogram import HdrHistogram
+
 from loomstand import interface as api
 from loomstand.config import Allowed, Conf, Grade, PlanConf, Rules, Specifics, settings
 from loomstand.door import digest
@@ -185,6 +187,7 @@
                 self.fallen = True
                 fleet.crash(self, back_after=-1)
                 return self.answer(work, OC.CONNECTION_LOST)
+        fleet.queued.record_value(len(self.queue) + 1)  # what a dispatch finds waiting before it, plus one
         if self.hand() >= self.room() + fleet.scenario.fleet.queue:
             return self.answer(work, OC.TURNED_AWAY)
         if len(self.working) < self.room():
@@ -443,6 +446,7 @@
         self.fleet = fleet
         s = fleet.scenario
         self.factor = [1.0] * len(s.plans)
+        self.due = [0.0] * len(s.plans)  # the next arrival of each plan, in tenths
         weights = [sum(f.share for f in s.frontends)]
         self.fronts = list(accumulate(f.share / weights[0] for f in s.frontends))
         self.customers: list[tuple[int, int]] = []  # (plan, first customer index)
@@ -472,11 +476,14 @@
             return self.fleet.arrive(note.plan, note.customer, self.front(), True)
         plan = note
         assert isinstance(plan, int)
-        rng, fleet = self.fleet.rng, self.fleet
-        rate = self.rate(plan)
-        if rate > 0:
-            self.arrive(plan)
-        fleet.engine.post(max(1, round(rng.expovariate(max(rate, 0.1)) * T)), self, plan)
+        rng, now = self.fleet.rng, self.fleet.engine.now
+        # arrival times are kept in fractions of a tenth: above 10,000 a second several fall in one tenth
+        while self.due[plan] <= now:
+            rate = self.rate(plan)
+            if rate > 0:
+                self.arrive(plan)
+            self.due[plan] += rng.expovariate(max(rate, 0.1)) * T
+        self.fleet.engine.at(ceil(self.due[plan]), self, plan)
 
     def arrive(self, plan: int) -> None:
         w = self.weights[plan]
@@ -543,6 +550,7 @@
             self.quota[customer][0] = scenario.plans[plan].burst
         self.shift: tuple[int, float] | None = None
         self.oracle_buckets: dict[int, list[float]] = {}  # the oracle's one bucket a customer
+        self.queued = HdrHistogram(1, 1 << 20, 2)
 
     def mean_work(self) -> float:
         fronts = self.scenario.frontends
@@ -743,7 +751,8 @@
             limiter.start()
             self.told_live[limiter.idx] = {srv.srv for srv in self.servers}
         for plan in range(len(s.plans)):
-            self.engine.post(self.rng.randrange(T // 10), self.clients, plan)
+            self.clients.due[plan] = float(self.rng.randrange(T // 10))
+            self.engine.at(round(self.clients.due[plan]), self.clients, plan)
         self.engine.post(WHOLE_EVERY, self.discovery, "whole")
         self.engine.post(T, Sampler(self), "sample")
         for n, fault in enumerate(s.faults):
--- a/loomstand/lab/runner.py
+++ b/loomstand/lab/runner.py
@@ -97,6 +97,7 @@
         "denied_share": round(counts["denied"] / max(1, counts["taken"]), 6),
         "beyond_quota_worth": round(beyond / offered if offered else 0.0, 6),
         "latency_ms": {f"p{q}": latency.get_value_at_percentile(q) / MS for q in (50, 90, 99, 99.9)},
+        "queue_found": {f"p{q}": fleet.queued.get_value_at_percentile(q) - 1 for q in (50, 90, 99, 99.9)},
         "plans": plans,
         "rules": {str(rule): n for rule, n in verdict.by_rule().items()},
         "breaks": [msgspec.to_builtins(b) for b in verdict.first()],
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -208,3 +208,11 @@
     )
     assert result.exit_code == 0, result.output
     assert (tmp_path / "sw" / "sweep.png").exists() and (tmp_path / "sw" / "point-1" / "report.json").exists()
+
+
+@pytest.mark.parametrize("kind", sc.Kind.__args__)
+def test_the_module_keeps_the_rules_through_each_fault(kind):
+    fault = {"at": 1, "kind": kind, "share": 0.5, "for_s": 1, "zone": "b", "plan": "basic"}
+    scenario = small(seconds=3, fleet={"limiters": 3, "servers": 6, "zones": ["a", "b"]}, faults=[fault])
+    played = runner.play(scenario, "brain", 3)
+    assert played.summary["held"], (played.summary["breaks"], played.summary["crashes"])
