--- a/benchmarks/lab_scale.py
+++ b/benchmarks/lab_scale.py
@@ -58,14 +58,46 @@
     parser.add_argument("sizes", type=int, nargs="+")
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--json", default="")
+    parser.add_argument("--plot", default="", help="a PNG of wall time and cost a req against limiters")
+    parser.add_argument("--rows", default="", help="draw rows from this JSON instead of running")
     args = parser.parse_args()
-    with ProcessPoolExecutor(max_workers=len(args.sizes)) as pool:
-        rows = list(pool.map(one, [(n, args.seconds) for n in args.sizes]))
+    if args.rows:
+        with open(args.rows) as file:
+            rows = json.load(file)
+    else:
+        with ProcessPoolExecutor(max_workers=len(args.sizes)) as pool:
+            rows = list(pool.map(one, [(n, args.seconds) for n in args.sizes]))
     for row in rows:
         print(json.dumps(row))
     if args.json:
         with open(args.json, "w") as out:
             json.dump(rows, out, indent=1)
+    if args.plot:
+        plot(rows, args.plot)
+
+
+def plot(rows: list[dict], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot as plt
+
+    rows = sorted(rows, key=lambda r: r["limiters"])
+    xs = [r["limiters"] for r in rows]
+    fig, left = plt.subplots(figsize=(7, 4))
+    left.plot(xs, [r["wall_s"] for r in rows], "o-", label="wall s for 60 s simulated")
+    left.set_xscale("log")
+    left.set_yscale("log")
+    left.set_xlabel("limiters")
+    left.set_ylabel("wall s")
+    right = left.twinx()
+    right.plot(xs, [r["us_per_req"] for r in rows], "s--", color="tab:red", label="us a req")
+    right.set_ylabel("us a req")
+    right.set_ylim(0, max(r["us_per_req"] for r in rows) * 1.2)
+    fig.legend(loc="upper left", bbox_to_anchor=(0.12, 0.88))
+    left.set_title("lab cost by size (the module alone)")
+    fig.tight_layout()
+    fig.savefig(path, dpi=100)
 
 
 if __name__ == "__main__":
--- a/loomstand/cli.py
+++ b/loomstand/cli.py
@@ -107,14 +107,21 @@
 def lab_run(scenario_file: str, seed: int | None, out: str | None, plot: bool) -> None:
     """Play SCENARIO with the module and its baselines; exit 1 if the module broke a rule."""
     from rich.console import Console
+    from rich.progress import Progress
 
     from loomstand.lab import report, runner
     from loomstand.lab import scenario as sc
 
-    console = Console(stderr=True)
     scenario = sc.from_table(scenario_table(scenario_file))
-    with console.status("playing") as status:
-        result = runner.run(scenario, seed, progress=lambda p: status.update(f"playing {p}"))
+    policies = list(dict.fromkeys([scenario.policy, *scenario.baselines]))
+    with Progress(console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task("simulated seconds", total=scenario.seconds * len(policies))
+
+        def progress(policy: str, second: float) -> None:
+            done = policies.index(policy) * scenario.seconds + second
+            bar.update(task, completed=done, description=f"playing {policy}")
+
+        result = runner.run(scenario, seed, progress=progress)
     report.table(result, Console())
     if out:
         report.write(result, out)
--- a/loomstand/lab/fleet.py
+++ b/loomstand/lab/fleet.py
@@ -743,8 +743,9 @@
     def life(self) -> Life:
         return self._life
 
-    def play(self) -> History:
-        """Plays the whole scenario; the history is the run's result."""
+    def play(self, tick: Callable[[float], None] | None = None) -> History:
+        """Plays the whole scenario; the history is the run's result. `tick(seconds)` after each simulated
+        second, for a progress bar."""
         s = self.scenario
         self._life = Life(self)
         for limiter in self.limiters:
@@ -757,7 +758,10 @@
         self.engine.post(T, Sampler(self), "sample")
         for n, fault in enumerate(s.faults):
             self.engine.at(round(fault.at * T), self._life, ("fault", n))
-        self.engine.run(round(s.seconds * T))
+        for second in range(1, ceil(s.seconds) + 1):
+            self.engine.run(round(min(second, s.seconds) * T))
+            if tick:
+                tick(min(second, s.seconds))
         # the clients that are still waiting: their limiter has this long to answer
         self.engine.run(round(s.seconds * T) + max(round(f.client_timeout_ms * MS) for f in s.frontends) + T)
         return self.history
--- a/loomstand/lab/runner.py
+++ b/loomstand/lab/runner.py
@@ -46,11 +46,17 @@
     wall: float
 
 
-def play(scenario: sc.Scenario, policy: str, seed: int, maker: PolicyMaker | None = None) -> Played:
-    """One run. `maker` stands in for the named policy (tests give faulty ones)."""
+def play(
+    scenario: sc.Scenario,
+    policy: str,
+    seed: int,
+    maker: PolicyMaker | None = None,
+    tick: Callable[[float], None] | None = None,
+) -> Played:
+    """One run. `maker` stands in for the named policy (tests give faulty ones); `tick(s)` each second."""
     fleet = Fleet(scenario, maker or MAKERS[policy], seed)
     began = time.perf_counter()
-    history = fleet.play()
+    history = fleet.play(tick)
     wall = time.perf_counter() - began
     verdict = check(history, scenario)
     return Played(policy, history, verdict, summarise(fleet, history, verdict), fleet.engine.events, wall)
@@ -110,15 +116,14 @@
 
 
 def run(
-    scenario: sc.Scenario, seed: int | None = None, progress: Callable[[str], None] | None = None
+    scenario: sc.Scenario, seed: int | None = None, progress: Callable[[str, float], None] | None = None
 ) -> dict:
     """The module (or the scenario's policy) and each baseline on the same scenario and seed."""
     seed = scenario.seed if seed is None else seed
     runs: dict[str, Played] = {}
     for policy in dict.fromkeys([scenario.policy, *scenario.baselines]):
-        if progress:
-            progress(policy)
-        runs[policy] = play(scenario, policy, seed)
+        tick = (lambda s, p=policy: progress(p, s)) if progress else None
+        runs[policy] = play(scenario, policy, seed, tick=tick)
     main = runs[scenario.policy]
     oracle = runs.get("oracle")
     report = {
