--- a/loomstand/lab/report.py
+++ b/loomstand/lab/report.py
@@ -128,12 +128,9 @@
         secs = list(range(len(s["seconds"])))
         ax.plot(secs, [row[0] for row in s["seconds"]], label=f"{name} served in time")
         ax.plot(secs, [row[1] for row in s["seconds"]], "--", label=f"{name} denied")
-    ax.set_xlabel("s")
-    ax.set_ylabel("reqs a second")
-    ax.set_title(f"{report['scenario']}: goodput and denials")
-    ax.legend(fontsize=7)
-    ax.grid(alpha=0.3)
-    made.append(save(fig, where / "goodput.png", plt))
+    made.append(
+        finish(fig, ax, "reqs a second", f"{report['scenario']}: goodput and denials", where / "goodput.png")
+    )
 
     main = series[report["policy"]]
     fig, ax = plt.subplots(figsize=(8, 4))
@@ -142,24 +139,29 @@
         ax.axhline(
             p["quota_per_s"], linestyle=":", color=ax.lines[-1].get_color(), label=f"{p['plan']} quota"
         )
-    ax.set_xlabel("s")
-    ax.set_ylabel("units a second")
-    ax.set_title(f"{report['scenario']}: admitted against quota ({report['policy']})")
-    ax.legend(fontsize=7)
-    ax.grid(alpha=0.3)
-    made.append(save(fig, where / "plans.png", plt))
+    title = f"{report['scenario']}: admitted against quota ({report['policy']})"
+    made.append(finish(fig, ax, "units a second", title, where / "plans.png"))
 
     fig, ax = plt.subplots(figsize=(8, 4))
     for name, s in series.items():
         ax.plot([h for h, _ in s["load"]], label=f"{name} in hand")
     ax.plot([c for _, c in main["load"]], "k:", label="capacity of servers up")
+    made.append(
+        finish(fig, ax, "reqs", f"{report['scenario']}: server load against capacity", where / "load.png")
+    )
+    return made
+
+
+def finish(fig, ax, ylabel: str, title: str, path: Path) -> Path:
+    """Labels a plot over seconds, gives it a legend and a grid, and saves it."""
+    from matplotlib import pyplot as plt
+
     ax.set_xlabel("s")
-    ax.set_ylabel("reqs")
-    ax.set_title(f"{report['scenario']}: server load against capacity")
+    ax.set_ylabel(ylabel)
+    ax.set_title(title)
     ax.legend(fontsize=7)
     ax.grid(alpha=0.3)
-    made.append(save(fig, where / "load.png", plt))
-    return made
+    return save(fig, path, plt)
 
 
 def save(fig, path: Path, plt) -> Path:
