--- a/loomstand/lab/baselines.py
+++ b/loomstand/lab/baselines.py
@@ -87,12 +87,19 @@
                 plan = self.s.plans[note.plan]
                 held = self.fleet.oracle_buckets.setdefault(note.customer, [plan.burst, now])
                 held[0], held[1] = min(plan.burst, held[0] + plan.rate * (now - held[1]) / T), now
-                if held[0] < note.units:
+                cap = None
+                if plan.ceiling_rate:  # the ceiling's one bucket over all limiters, without its slack
+                    depth = plan.ceiling_depth or plan.ceiling_rate
+                    cap = self.fleet.oracle_ceilings.setdefault(note.customer, [depth, now])
+                    cap[0], cap[1] = min(depth, cap[0] + plan.ceiling_rate * (now - cap[1]) / T), now
+                if held[0] < note.units or (cap is not None and cap[0] < note.units):
                     return [api.Deny(note.req)]
                 srv = self.pick(note, ())
                 if srv is None:
                     return [api.Deny(note.req)]
                 held[0] -= note.units
+                if cap is not None:
+                    cap[0] -= note.units
                 self.jobs[note.req] = (note, [srv], False)
                 return [api.Dispatch(note.req, srv, note.give_up)]
             case api.Ended():
--- a/loomstand/lab/fleet.py
+++ b/loomstand/lab/fleet.py
@@ -552,6 +552,7 @@
             self.quota[customer][0] = scenario.plans[plan].burst
         self.shift: tuple[int, float] | None = None
         self.oracle_buckets: dict[int, list[float]] = {}  # the oracle's one bucket a customer
+        self.oracle_ceilings: dict[int, list[float]] = {}  # and its ceiling's
         self.queued = HdrHistogram(1, 1 << 20, 2)
         self.live: tuple[list[Limiter], list[list[Limiter]]] | None = None  # by zone
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -216,3 +216,23 @@
     scenario = small(seconds=3, fleet={"limiters": 3, "servers": 6, "zones": ["a", "b"]}, faults=[fault])
     played = runner.play(scenario, "brain", 3)
     assert played.summary["held"], (played.summary["breaks"], played.summary["crashes"])
+
+
+def test_the_oracle_keeps_a_ceiling_below_the_quota():
+    scenario = small(
+        baselines=["oracle"],
+        plans=[
+            {
+                "name": "atelier",
+                "rate": 10,
+                "burst": 10,
+                "customers": 3,
+                "demand": 2,
+                "ceiling_rate": 4,
+                "ceiling_depth": 4,
+                "ceiling_slack": 0,
+            }
+        ],
+    )
+    played = runner.play(scenario, "oracle", 1)
+    assert played.summary["held"] and played.summary["plans"][0]["passed_per_s"] <= 3 * 4 * 1.5
