Lab: one bucket refill, one cold-server bound, one dispatch age; a dead constant gone

Need: a reading of the whole change found the same bucket refill written four times (clients' true quota, naive, the oracle's quota and ceiling), the cold server's bound written in Server and again in the oracle, the age of a dispatch computed twice in Limiter.take, a per-dispatch scan of every open dispatch of a limiter, a per-run dict built to map a group, an unused NOT_RUN in fleet.py, a property standing in for an attribute, and told_live filled twice at the start.

Change: fleet.refill, Server.bears and Fleet.since_sent serve each place; the overlap check looks up the req's own earlier dispatches (at most try_limit) instead of walking all open ones; the group is a conditional; Fleet.life is set in __init__; the second told_live fill is dropped (start's whole list already sets it).

--- a/loomstand/lab/baselines.py
+++ b/loomstand/lab/baselines.py
@@ -19,7 +19,7 @@
 from typing import TYPE_CHECKING
 
 from loomstand import interface as api
-from loomstand.interface import TENTHS_PER_S as T
+from loomstand.lab.fleet import refill
 
 if TYPE_CHECKING:
     from loomstand.lab.fleet import Fleet
@@ -53,8 +53,7 @@
                 plan = self.s.plans[note.plan]
                 depth = max(1.0, plan.burst * self.share)
                 held = self.buckets.setdefault(note.customer, [depth, now])
-                held[0], held[1] = min(depth, held[0] + plan.rate * self.share * (now - held[1]) / T), now
-                if held[0] < note.units:
+                if refill(held, plan.rate * self.share, depth, now) < note.units:
                     return [api.Deny(note.req)]
                 held[0] -= note.units
                 srv = self.live[self.rng.randrange(len(self.live))]
@@ -86,12 +85,12 @@
                     return [api.Deny(note.req)]
                 plan = self.s.plans[note.plan]
                 held = self.fleet.oracle_buckets.setdefault(note.customer, [plan.burst, now])
-                held[0], held[1] = min(plan.burst, held[0] + plan.rate * (now - held[1]) / T), now
+                refill(held, plan.rate, plan.burst, now)
                 cap = None
                 if plan.ceiling_rate:  # the ceiling's one bucket over all limiters, without its slack
                     depth = plan.ceiling_depth or plan.ceiling_rate
                     cap = self.fleet.oracle_ceilings.setdefault(note.customer, [depth, now])
-                    cap[0], cap[1] = min(depth, cap[0] + plan.ceiling_rate * (now - cap[1]) / T), now
+                    refill(cap, plan.ceiling_rate, depth, now)
                 if held[0] < note.units or (cap is not None and cap[0] < note.units):
                     return [api.Deny(note.req)]
                 srv = self.pick(note, ())
@@ -135,10 +134,9 @@
             room = srv.room()
             if srv.hand() >= room + fleet.scenario.fleet.queue // 2:
                 continue
-            if srv.warmth() < 1.0:
-                bears = fleet.scenario.fleet.fall_multiple * srv.warmth() * fleet.throughput * fleet.tip / T
-                if len(srv.recent) + 1 > 0.8 * bears:
-                    continue
+            warmth = srv.warmth()
+            if warmth < 1.0 and len(srv.recent) + 1 > 0.8 * srv.bears(warmth):
+                continue
             load = (srv.hand() + 1) / room * srv.slow
             if best is None or load < least:
                 best, least = srv.srv, load
--- a/loomstand/lab/fleet.py
+++ b/loomstand/lab/fleet.py
@@ -30,7 +30,6 @@
 T = api.TENTHS_PER_S
 MS = T // 1000
 OC = api.Outcome
-NOT_RUN = (OC.TURNED_AWAY, OC.NO_CONNECTION, OC.NOT_SENT)
 LIST_DELAY = 50 * MS  # discovery's usual lag behind a change: a watch answered within a few RTTs
 WHOLE_EVERY = 10 * T  # a whole list to every limiter, as a poll of discovery would bring it
 CONNECT = 250 * MS  # what a connect to a cut-off peer takes to fail; the settings' default connect timeout
@@ -46,6 +45,12 @@
 PolicyMaker = Callable[["Fleet", int, api.Settings, int], Policy]
 
 
+def refill(held: list[float], rate: float, depth: float, now: int) -> float:
+    """A bucket `[level, when]` filled at `rate` a second up to `depth` until `now`; returns the level."""
+    held[0], held[1] = min(depth, held[0] + rate * (now - held[1]) / T), now
+    return held[0]
+
+
 # notes between the parts ------------------------------------------------------------------------------------
 
 
@@ -158,6 +163,11 @@
     def hand(self) -> int:
         return len(self.working) + len(self.queue)
 
+    def bears(self, warmth: float) -> float:
+        """Dispatches within the rule's tip window past which this server, at `warmth`, falls."""
+        fleet = self.fleet
+        return fleet.scenario.fleet.fall_multiple * warmth * fleet.throughput * fleet.tip / T
+
     def take(self, note: object) -> None:
         if isinstance(note, Work):
             self.arrive(note)
@@ -173,15 +183,12 @@
         if not self.up or self.phase is api.Phase.GONE:
             return self.answer(work, OC.NO_CONNECTION)
         warmth = self.warmth()
-        if (
-            warmth < 1.0
-        ):  # the rule's cold server: more than fall_multiple times what it can do, for tip_after
-            f = fleet.scenario.fleet
-            tip = fleet.tip
+        # the rule's cold server: more than fall_multiple times what it can do, for tip_after
+        if warmth < 1.0:
             self.recent.append(now)
-            while self.recent and self.recent[0] <= now - tip:
+            while self.recent and self.recent[0] <= now - fleet.tip:
                 self.recent.popleft()
-            bears = f.fall_multiple * warmth * fleet.throughput * tip / T
+            bears = self.bears(warmth)
             if len(self.recent) > max(2.0, bears):
                 fleet.history.falls.append((self.srv, now, float(len(self.recent)), bears))
                 self.fallen = True
@@ -346,19 +353,13 @@
                 if self.open.pop((note.req, note.dispatch), None) is None:
                     return
                 passed = note.outcome is OC.PASSED
-                took = (
-                    fleet.engine.now
-                    - fleet.history.dispatches[fleet.dispatch_rows[note.req, note.dispatch]][4]
-                )
+                took = fleet.since_sent(note.req, note.dispatch)
                 if passed:
                     self.final(note.req, PASSED)
                 self.feed(api.Ended(note.req, note.dispatch, note.srv, note.outcome, took, passed, 0, 0.0))
             case Expire():
                 if (srv := self.open.pop((note.req, note.dispatch), None)) is not None:
-                    took = (
-                        fleet.engine.now
-                        - fleet.history.dispatches[fleet.dispatch_rows[note.req, note.dispatch]][4]
-                    )
+                    took = fleet.since_sent(note.req, note.dispatch)
                     self.feed(api.Ended(note.req, note.dispatch, srv, OC.NO_ANSWER, took, False, 0, 0.0))
             case CountReply():
                 if (call := self.calls.pop(note.call, None)) is not None:
@@ -404,7 +405,7 @@
             case api.Dispatch():
                 n = self.sent.get(act.req, 0)
                 self.sent[act.req] = n + 1
-                if any(key[0] == act.req for key in self.open):
+                if any((act.req, k) in self.open for k in range(n)):
                     fleet.history.overlaps.append((act.req, self.idx, now))
                 fleet.send(self, act, n)
             case api.Deny():
@@ -554,6 +555,7 @@
         self.oracle_buckets: dict[int, list[float]] = {}  # the oracle's one bucket a customer
         self.oracle_ceilings: dict[int, list[float]] = {}  # and its ceiling's
         self.queued = HdrHistogram(1, 1 << 20, 2)
+        self.life = Life(self)
         self.live: tuple[list[Limiter], list[list[Limiter]]] | None = None  # by zone
 
     def mean_work(self) -> float:
@@ -659,10 +661,14 @@
         if limiter.gen == lgen and call in limiter.calls:
             self.engine.post(0, limiter, CountReply(call, lgen, OC.NO_ANSWER, 0.0))
 
+    def since_sent(self, req: int, dispatch: int) -> int:
+        """Tenths since the limiter sent this dispatch."""
+        return self.engine.now - self.history.dispatches[self.dispatch_rows[req, dispatch]][4]
+
     def ran(self, work: Work, srv: Server) -> None:
         req = self.req_rows.get(work.req)
         front = self.scenario.frontends[work.frontend]
-        group = {"all": 0, "zone": srv.zone, "cell": 0}[front.group]
+        group = srv.zone if front.group == "zone" else 0  # the lab's servers are all of cell 0
         window = round(front.repeat_window_ms * MS)
         self.history.runs.append((work.req, srv.srv, self.engine.now, front.effect, group, window))
         if req is not None:
@@ -695,8 +701,7 @@
         limiter = here[self.rng.randrange(len(here))]
         p, g = s.plans[plan], s.frontends[front]
         held = self.quota[customer]
-        held[0], held[1] = min(p.burst, held[0] + p.rate * (now - held[1]) / T), now
-        inside = held[0] >= 1.0
+        inside = refill(held, p.rate, p.burst, now) >= 1.0
         held[0] -= 1.0 if inside else 0.0
         self.next_req += 1
         timeout = round(g.client_timeout_ms * MS)
@@ -746,25 +751,19 @@
         self.servers.append(new)
         self.discovery.tell((srv.entry(), new.entry()), False)
 
-    @property
-    def life(self) -> Life:
-        return self._life
-
     def play(self, tick: Callable[[float], None] | None = None) -> History:
         """Plays the whole scenario; the history is the run's result. `tick(seconds)` after each simulated
         second, for a progress bar."""
         s = self.scenario
-        self._life = Life(self)
         for limiter in self.limiters:
             limiter.start()
-            self.told_live[limiter.idx] = {srv.srv for srv in self.servers}
         for plan in range(len(s.plans)):
             self.clients.due[plan] = float(self.rng.randrange(T // 10))
             self.engine.at(round(self.clients.due[plan]), self.clients, plan)
         self.engine.post(WHOLE_EVERY, self.discovery, "whole")
         self.engine.post(T, Sampler(self), "sample")
         for n, fault in enumerate(s.faults):
-            self.engine.at(round(fault.at * T), self._life, ("fault", n))
+            self.engine.at(round(fault.at * T), self.life, ("fault", n))
         for second in range(1, ceil(s.seconds) + 1):
             self.engine.run(round(min(second, s.seconds) * T))
             if tick:
