--- a/loomstand/cli.py
+++ b/loomstand/cli.py
@@ -82,21 +82,12 @@
 
 
 def scenario_table(path: str) -> dict:
-    import tomllib
-
     from loomstand.lab import scenario as sc
 
     try:
-        with open(path, encoding="utf-8") as file:
-            table = tomllib.loads(file.read())
-        sc.from_table(table)
-    except OSError as why:
-        raise click.ClickException(f"{path}: {why.strerror}") from None
-    except tomllib.TOMLDecodeError as why:
-        raise click.ClickException(f"{path} is not TOML: {why}") from None
+        return sc.read(path)
     except sc.ScenarioError as why:
-        raise click.ClickException(f"{path}: {why}") from None
-    return table
+        raise click.ClickException(str(why)) from None
 
 
 @lab.command("run")
@@ -113,7 +104,7 @@
     from loomstand.lab import scenario as sc
 
     scenario = sc.from_table(scenario_table(scenario_file))
-    policies = list(dict.fromkeys([scenario.policy, *scenario.baselines]))
+    policies = runner.policies(scenario)
     with Progress(console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task("simulated seconds", total=scenario.seconds * len(policies))
 
--- a/loomstand/lab/runner.py
+++ b/loomstand/lab/runner.py
@@ -19,7 +19,7 @@
 from loomstand.brain import Brain
 from loomstand.lab import scenario as sc
 from loomstand.lab.baselines import POLICIES
-from loomstand.lab.checker import NAMES, Verdict, check
+from loomstand.lab.checker import Verdict, check
 from loomstand.lab.fleet import Fleet, Policy, PolicyMaker
 from loomstand.lab.history import DENIED, PASSED, History
 
@@ -121,7 +121,7 @@
     """The module (or the scenario's policy) and each baseline on the same scenario and seed."""
     seed = scenario.seed if seed is None else seed
     runs: dict[str, Played] = {}
-    for policy in dict.fromkeys([scenario.policy, *scenario.baselines]):
+    for policy in policies(scenario):
         tick = (lambda s, p=policy: progress(p, s)) if progress else None
         runs[policy] = play(scenario, policy, seed, tick=tick)
     main = runs[scenario.policy]
@@ -155,6 +155,11 @@
     return report
 
 
+def policies(scenario: sc.Scenario) -> list[str]:
+    """The policies a run plays, in order: the scenario's own, then its baselines, each once."""
+    return list(dict.fromkeys([scenario.policy, *scenario.baselines]))
+
+
 def digest(report: dict) -> str:
     """SHA-256 of the canonical JSON of what the run found, wall times left out."""
     kept = {k: v for k, v in report.items() if k not in ("digest", "wall_s", "events_per_s")}
@@ -192,7 +197,3 @@
         return [_point(p) for p in points]
     with ProcessPoolExecutor(max_workers=min(workers, len(points))) as pool:
         return list(pool.map(_point, points))
-
-
-def rule_names() -> dict[int, str]:
-    return dict(NAMES)
--- a/loomstand/lab/scenario.py
+++ b/loomstand/lab/scenario.py
@@ -170,12 +170,16 @@
 
 def parse(raw: str | bytes, source: str = "scenario") -> Scenario:
     """The scenario in a TOML text. Raises ScenarioError naming the key."""
+    return from_table(toml(raw, source))
+
+
+def toml(raw: str | bytes, source: str) -> dict:
+    """The table of a TOML text, unchecked. Raises ScenarioError naming the source."""
     text = raw.decode() if isinstance(raw, bytes) else raw
     try:
-        table = tomllib.loads(text)
+        return tomllib.loads(text)
     except tomllib.TOMLDecodeError as why:
         raise ScenarioError(f"{source} is not TOML: {why}") from None
-    return from_table(table)
 
 
 def from_table(table: dict) -> Scenario:
@@ -192,13 +196,22 @@
 
 
 def load(path: str) -> Scenario:
-    """The scenario in a file. Raises ScenarioError naming the file or the key."""
+    """The scenario in a file. Raises ScenarioError naming the file, and the key where one is at fault."""
+    return from_table(read(path))
+
+
+def read(path: str) -> dict:
+    """The table of a scenario file, checked (for sweeps, which set keys in it). Raises as `load`."""
     try:
         with open(path, "rb") as file:
-            raw = file.read()
+            table = toml(file.read(), path)
     except OSError as why:
         raise ScenarioError(f"{path}: {why.strerror}") from None
-    return parse(raw, path)
+    try:
+        from_table(table)
+    except ScenarioError as why:
+        raise ScenarioError(f"{path}: {why}") from None
+    return table
 
 
 def with_values(table: dict, sets: dict[str, object]) -> dict:
