Lab clients: the frontends' shares summed into a plain number, not a one-item list

Need: Clients held the sum of the shares in a list of one only to read its first item.

Change: a plain local.

--- a/loomstand/lab/fleet.py
+++ b/loomstand/lab/fleet.py
@@ -450,8 +450,8 @@
         s = fleet.scenario
         self.factor = [1.0] * len(s.plans)
         self.due = [0.0] * len(s.plans)  # the next arrival of each plan, in tenths
-        weights = [sum(f.share for f in s.frontends)]
-        self.fronts = list(accumulate(f.share / weights[0] for f in s.frontends))
+        whole = sum(f.share for f in s.frontends)
+        self.fronts = list(accumulate(f.share / whole for f in s.frontends))
         self.customers: list[tuple[int, int]] = []  # (plan, first customer index)
         self.weights: list[list[float]] = []
         first = 0
