A ceiling's units go to its limiters in turn; denials for full servers start later

A set of 7 shares 3.3 units a second: the even trickle of Account.roll holds no whole req at any of the seven for the first 2.1 s, after each start. Desk.granted denied the cheapest from 0.42 of a window of 10.5 on, five dispatches: what a limiter with three out by the mean reaches by chance. Change: (1) a limiter gets its share in whole units, in turn with the others of the set by the common clock (place in the set from X-Call-Terms first), and counts from the CPU time its process has surely run; the fleet is never a unit ahead, which the slack allows, and a limiter that starts again holds nothing. (2) value begins to decide at 0.6 of the window; at 0.45 for a req that nothing is known of (unseen customer, burst under half a req each, use beyond costs): a third of those are beyond the quota once all pass.

--- a/loomstand/adapter/__main__.py
+++ b/loomstand/adapter/__main__.py
@@ -60,6 +60,7 @@
                     ev.cost_units,
                     ev.n_entries,
                     ev.is_retry,
+                    ev.first,
                 )
             case w.Returned():
                 return i.Ended(
--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -113,9 +113,9 @@
     """A customer's smoothed bucket at this limiter, and its part of the quota. Thousands are held at once."""
 
     __slots__ = ("asked", "asked_at", "cap", "cap_depth", "cap_rate", "confirmed", "customer", "depth",
-                 "digest", "forgot", "k", "keeper", "last", "length", "level", "meter", "metered_at", "n",
-                 "offset", "others", "out", "own", "pace", "plan", "rate", "split_at", "synced", "tries",
-                 "unsent", "used_at", "whole", "woken")  # fmt: skip
+                 "costless", "digest", "forgot", "k", "keeper", "last", "length", "level", "meter",
+                 "metered_at", "n", "offset", "others", "out", "own", "pace", "place", "plan", "rate", "split_at",
+                 "synced", "tries", "unsent", "used_at", "whole", "woken")  # fmt: skip
 
     def __init__(self, loop: Loop, keeper: Keeper, note: api.Arrived, plan: api.Plan | None) -> None:
         super().__init__(loop)
@@ -126,6 +126,8 @@
         self.length = max(1, round(self.depth / self.rate)) if self.rate else 0
         self.offset = self.digest % self.length if self.length else 0  # spreads customers' edges
         self.pace = self.rate / self.n  # the part, as units a tenth: unseen customers start even
+        # Use beyond the quota that costs nothing: a doubt is the customer's, a count known full is not.
+        self.costless = plan is not None and plan.excess_cost <= plan.excess_value
         self.synced = self.split_at = self.asked_at = self.metered_at = NEVER
         self.k = self.out = self.tries = 0  # tries not yet told
         self.level = self.whole = self.meter = self.own = self.unsent = self.confirmed = self.others = 0.0
@@ -133,8 +135,9 @@
         self.last = (0.0, 0.0, 0.0, False)  # own, confirmed, others and forgot of the last interval
         self.forgot = self.woken = False
         # A limiter's share of the ceiling is empty when the limiter starts, as it may have spent it before.
-        self.cap_rate = plan.ceiling_rate / self.n / TENTHS_PER_S if plan else 0.0
+        self.cap_rate = plan.ceiling_rate / TENTHS_PER_S if plan else 0.0
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
+        self.place = (loop.settings.me - note.first) % max(1, loop.settings.limiters) % self.n
         self.cap, self.used_at = 0.0, loop.started
 
     def roll(self) -> None:
@@ -143,7 +146,7 @@
         self.level = max(0.0, self.level - self.pace * gone)
         self.whole, self.used_at = max(0.0, self.whole - self.rate * gone), now
         if self.cap_rate:
-            self.cap = min(self.cap_depth, self.cap + self.cap_rate * gone)
+            self.cap = min(self.cap_depth, self.cap + self.turns(now) - self.turns(now - gone))
         k = (now + self.offset) // self.length if self.length else 0
         if k != self.k:
             self.last = (self.own, self.confirmed, self.others, self.forgot)
@@ -156,6 +159,15 @@
             if now - self.split_at > 3 * self.length:  # the last split has stood for two further intervals
                 self.pace = self.rate / self.n
 
+    def turns(self, at: int) -> float:
+        """What has come from the ceiling to this limiter by a clock reading: a unit at a time, in turn with
+        the others of the set. Even shares that trickle to all at once hold no whole req for a time of set /
+        rate after a start; in turn the first comes after half of that, and all are never a unit ahead."""
+        unit = min(1.0, self.plan.ceiling_slack)  # so far ahead is allowed
+        if not unit:
+            return at * self.cap_rate / self.n
+        return unit * ((at * self.cap_rate / unit - self.place) // self.n)
+
     def ask(self, job: Job, desk: Desk) -> None:
         """One req per emission interval and a burst count; a full count denies at once."""
         units, most = job.note.units, self.plan.at_once if self.plan else 0
@@ -175,22 +187,26 @@
         """Whether the part has room, one too small for a req by chance; a req that comes again was denied."""
         since, small = self.loop.now - self.synced, self.depth < self.n
         fits = self.whole + units <= self.depth + 1e-9
-        # What is passed beyond the quota costs nothing: a doubt is the customer's, a count known full is not.
-        free = self.plan.excess_cost <= self.plan.excess_value
         if self.asked <= 0.8 * self.rate and (small or since < 10 * self.length):
             # its denial elsewhere tells of a full count where a part is far below a req: others came with
             # near half a req in each part and were denied for want of servers or of the ceiling's share
-            return fits and not (retry and self.synced == NEVER and 2 * self.depth < self.n and not free)
+            return fits and not (retry and self.doubt())
         if small:
             # Guards against denials with quota left, which come again, are counted as asked, and deny more:
             # whatever the others passed since the total came, there is room, and one more for a race
             if self.whole + min(self.asked, self.rate) * since + units + 1 <= self.depth:
                 return True
-            return (fits or since > 1 / self.rate) and (free or self.loop.chance() < self.rate / self.asked)
+            lucky = self.costless or self.loop.chance() < self.rate / self.asked
+            return lucky and (fits or since > 1 / self.rate)
         # the whole burst while totals come, else this limiter's part of it
         part = self.depth if since <= self.length else max(1.0, self.depth * min(1.0, self.pace / self.rate))
         return self.level + units <= part + 1e-9
 
+    def doubt(self) -> bool:
+        """Whether nothing tells if the customer is beyond its quota, where that costs: one unseen here, of a
+        burst that is half a req or less for each limiter."""
+        return 2 * self.depth < self.n and self.synced == NEVER and self.rate > 0 and not self.costless
+
     def taken(self, units: float) -> None:
         self.out, self.cap = self.out + 1, self.cap - units if self.cap_rate else 0.0
         if not self.rate:
@@ -220,8 +236,9 @@
 
     def idle(self, many: bool) -> bool:
         """Whether nothing spent is left to remember, and for long; where many are held, at once."""
-        gone, least = self.loop.now - self.used_at, (1 if many else 10) * self.length
-        return not self.out and gone > least and self.cap + self.cap_rate * gone >= self.cap_depth
+        now, gone, least = self.loop.now, self.loop.now - self.used_at, (1 if many else 10) * self.length
+        come = self.turns(now) - self.turns(now - gone) if self.cap_rate else 0.0
+        return not self.out and gone > least and self.cap + come >= self.cap_depth
 
     def read(self) -> None:
         """Reads the finished total of the last interval."""
@@ -506,7 +523,9 @@
         while self.flying and next(iter(self.flying.values())) < late:  # held by silence, no load of servers
             del self.flying[next(iter(self.flying))]
         pressure = (len(self.flying) + self.loop.chance()) / max(1e-9, self.window)
-        srv = self.pick(job) if pressure <= 0.3 + 0.7 * worth / self.best else None
+        # Denying starts above what a limiter of many has out by mere chance; a doubtful req goes first.
+        floor = 0.45 if job.account.doubt() else 0.6
+        srv = self.pick(job) if pressure <= floor + (1 - floor) * worth / self.best else None
         if srv is None:
             self.loop.post(self.denied, job, 0, "servers full")
         else:
--- a/loomstand/interface.py
+++ b/loomstand/interface.py
@@ -141,6 +141,7 @@
     units: float
     set_size: int
     retry: bool
+    first: int = 0  # the limiter at which the customer's set begins
 
 
 @dataclass(slots=True)
--- a/loomstand/net/limiter.py
+++ b/loomstand/net/limiter.py
@@ -42,7 +42,8 @@
         self.epoch = time.time_ns() - time.monotonic_ns()
         self.halls, self.kinds, self.servers = Door(conf.zones), Door(conf.kinds), Door()
         self.settings = settings(conf, self.halls.at(conf.az))
-        self.brain = Brain(self.settings, config.seed, self.now())
+        # this process has run at least as long as it has worked: so long it surely passed nothing
+        self.brain = Brain(self.settings, config.seed, self.now() - int(time.process_time() * 10_000))
         self.names = Names([g.name for g in conf.grades], [p.name for p in conf.plans], self.settings)
         # Half of the memory for buffers, the rest for program and module. A tenth of the sockets for clients
         # that are being taken in, as many for those that are turned away.
@@ -183,7 +184,7 @@
         self.last += 1
         req.id, req.client, client.req = self.last, client, req
         self.reqs[req.id] = req
-        who, turn = (req.plan, *req.customer), (req.units, req.set_size, req.retry)
+        who, turn = (req.plan, *req.customer), (req.units, req.set_size, req.retry, req.first)
         self.note(i.Arrived(req.id, req.frontend, *who, req.give_up, *turn))
 
     def vanished(self, req: Req) -> None:
--- a/loomstand/net/req.py
+++ b/loomstand/net/req.py
@@ -33,8 +33,8 @@
         # few lines of X-Call-Terms differ; some customers come again soon, others are not kept for long
         self.terms, self.customer = lru_cache(1 << 8)(self.terms), lru_cache(1 << 10)(self.customer)
 
-    def terms(self, raw: bytes) -> tuple[float, int]:
-        """Units and the size of the customer's set."""
+    def terms(self, raw: bytes) -> tuple[float, int, int]:
+        """Units, the size of the customer's set, and the limiter at which it begins."""
         pairs = dict(part.strip().partition(b"=")[::2] for part in raw.split(b","))
         units = pairs.get(b"units", b"1")
         spread, first = pairs.get(b"spread", b"0"), pairs.get(b"first", b"0")
@@ -44,7 +44,7 @@
             raise Malformed(400, "X-Call-Terms: units out of the settings' range")
         if int(spread) > self.told.limiters or int(first) >= self.told.limiters:
             raise Malformed(400, "X-Call-Terms: a set out of range")
-        return float(units), int(spread)
+        return float(units), int(spread), int(first)
 
     def customer(self, account: bytes) -> tuple[int, int]:
         """The customer's number, and the digest that is the same at every limiter."""
@@ -55,8 +55,8 @@
     """A req that is owed its answer, or whose dispatches are still out."""
 
     __slots__ = (
-        "body", "client", "customer", "fields", "flights", "frontend", "give_up", "head", "id", "line",
-        "plan", "retry", "set_size", "timeout", "units",
+        "body", "client", "customer", "fields", "first", "flights", "frontend", "give_up", "head", "id",
+        "line", "plan", "retry", "set_size", "timeout", "units",
     )  # fmt: skip
 
     def __init__(self, machine: RequestReceiver, names: Names) -> None:
@@ -74,7 +74,7 @@
         self.plan = -1 if tier is None else names.plans.get(tier, -1)
         if tier is not None and self.plan < 0:
             raise Malformed(400, "no such plan")
-        self.units, self.set_size = names.terms(fields.get(b"x-call-terms", b""))
+        self.units, self.set_size, self.first = names.terms(fields.get(b"x-call-terms", b""))
         self.customer = names.customer(account[1])
         self.timeout, self.retry = int(wait), fields.get(b"client-retry") == b"1"
         self.line, self.body, self.head = (machine.method, target), machine.body, b""
