--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -112,10 +112,10 @@
 class Account(Part):
     """A customer's smoothed bucket at this limiter, and its part of the quota. Thousands are held at once."""
 
-    __slots__ = ("asked", "asked_at", "cap", "cap_depth", "cap_rate", "confirmed", "customer", "depth",
-                 "costless", "digest", "forgot", "k", "keeper", "last", "length", "level", "meter",
-                 "metered_at", "n", "offset", "others", "out", "own", "pace", "place", "plan", "rate", "split_at",
-                 "synced", "tries", "unsent", "used_at", "whole", "woken")  # fmt: skip
+    __slots__ = ("asked", "asked_at", "cap", "cap_depth", "cap_rate", "confirmed", "costless", "customer",
+                 "depth", "digest", "forgot", "k", "keeper", "last", "length", "level", "meter",
+                 "metered_at", "n", "offset", "others", "out", "own", "pace", "place", "plan", "rate",
+                 "split_at", "synced", "tries", "unsent", "used_at", "whole", "woken")  # fmt: skip
 
     def __init__(self, loop: Loop, keeper: Keeper, note: api.Arrived, plan: api.Plan | None) -> None:
         super().__init__(loop)
