Each limiter uses six servers, or four limiters a server, not two dozen

Ruled out: limiters ordering the ring differently (all 40 begin with the same list; new servers differ later, 13 to 19 limiters a server). Cause: Desk.look, sixteen limiters a server and eight servers at least: right for fleets of 100 to 200 limiters over 20 to 50 servers, where it gave eight, but 24 here. Change: four limiters a server, six servers at least; answers count with a half-life of 2 s or 16 s, whichever is more.

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -437,7 +437,7 @@
         self.near: list[list[Server]] = []  # by frontend: those that this limiter uses
         self.off, self.near_at = [], NEVER  # and those among them that are set aside
         # dispatches out at once over all servers: seven a server by all limiters at first
-        self.window, self.flow, self.flow_at = 0.0, 0.0, loop.now
+        self.window, self.flow, self.flow_long, self.flow_at = 0.0, 0.0, 0.0, loop.now
 
     def listed(self, note: api.Listed) -> None:
         named = {entry.srv for entry in note.entries}
@@ -457,10 +457,12 @@
         self.window = self.window or 7 * len(self.ring) / max(1, self.loop.settings.limiters)
 
     def look(self) -> None:
-        """The servers to use: a stretch of the ring, the same few for long, so that outcomes tell. Sixteen
-        limiters a server spread the load, eight leave a choice. Those set aside are out unless it is most."""
+        """The servers to use: a stretch of the ring, the same few for long, so that outcomes tell. Four
+        limiters a server spread the load; six servers leave a choice, and a limiter of a few reqs a second
+        still learns of each within seconds: of two dozen it learned too late which are slow or gone, and all
+        limiters opened connections to all of them. Those set aside are out unless it is most."""
         s, many = self.loop.settings, len(self.ring)
-        reach = min(many, max(8, 16 * many // max(1, s.limiters)))
+        reach = min(many, max(6, 4 * many // max(1, s.limiters)))
         first = s.me * many // max(1, s.limiters)
         stretch = [self.ring[n % many] for n in range(first, first + min(many, 3 * reach))]
         self.near, self.off, self.near_at = [], [], self.loop.now
@@ -560,13 +562,15 @@
 
     def cold_ok(self, srv: Server) -> bool:
         """Against what one of this limiter's servers answers to it."""
-        return srv.warmth() >= 1.0 or srv.cold_room(self.passed(0) / 28_854 / max(1, len(self.near[0])))
+        return srv.warmth() >= 1.0 or srv.cold_room(self.passed(0) / max(1, len(self.near[0])))
 
     def passed(self, more: int) -> float:
-        """Answers lately, with a half-life of 2 s; over 28,854 (that over ln 2), those a tenth."""
-        now = self.loop.now
-        self.flow, self.flow_at = self.flow * 0.5 ** ((now - self.flow_at) / 20_000) + more, now
-        return self.flow
+        """Answers a tenth, with a half-life of 2 s or of 16 s, whichever is more: what servers carried lately
+        they can carry. By the first alone budgets fall with the reqs denied for want of budget, and so on."""
+        gone, self.flow_at = self.loop.now - self.flow_at, self.loop.now
+        self.flow = self.flow * 0.5 ** (gone / 20_000) + more
+        self.flow_long = self.flow_long * 0.5 ** (gone / 160_000) + more
+        return max(self.flow / 28_854, self.flow_long / 230_831)
 
     def may_repeat(self, job: Job, srv: Server) -> bool:
         """Whether no effect can come twice if the req goes to this server."""
