A plan with slack but no ceiling drops its idle customers again

Seen on rereading: Account.idle compares with the unit of a ceiling's turn, which was taken from the slack where the plan has no ceiling as well; such customers would be kept for ever (no bench site has such a plan). Change: no ceiling, no unit.

--- a/loomstand/brain.py
+++ b/loomstand/brain.py
@@ -137,7 +137,7 @@
         # A limiter's share of the ceiling is empty when the limiter starts, as it may have spent it before.
         self.cap_rate = plan.ceiling_rate / TENTHS_PER_S if plan else 0.0
         self.cap_depth = plan.ceiling_depth / self.n if self.cap_rate else 0.0
-        self.unit = min(1.0, plan.ceiling_slack) if plan else 0.0  # a turn's; so far ahead is allowed
+        self.unit = min(1.0, plan.ceiling_slack) if self.cap_rate else 0.0  # a turn's; so far ahead is fine
         self.place = (loop.settings.me - note.first) % max(1, loop.settings.limiters) % self.n
         self.cap, self.used_at = 0.0, loop.started
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -369,6 +369,14 @@
     assert len(brain.desk.accounts) > 1000
 
 
+def test_a_slack_without_a_ceiling_does_not_keep_a_customer_for_ever() -> None:
+    acct = account(1.0, 4.0)
+    plan = replace(acct.plan, ceiling_slack=1.0)
+    acct = Account(acct.loop, acct.keeper, arrival(1, 0), plan)
+    acct.loop.now = 50 * acct.length
+    assert acct.idle(False)
+
+
 def test_dispatches_held_by_silence_do_not_fill_the_window():
     # print-desk-main, rate+silent+leave: some 70 of 130 dispatches out waited on connections fallen silent
     brain, sent = alone(servers=4, limiters=1), []
