Gateway: the limiter's shared trunk, calls between programs, settings and registry

Cause: the whole system needs the limiter's sockets, reqs and dispatches under other clients' words.

--- /dev/null
+++ b/loomstand/furrow/sockets.py
@@ -0,0 +1,158 @@
+"""The network of real sockets: one connection to each address, calls on it side by side."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import Counter as Tally
+from contextlib import suppress
+from typing import Any
+
+from absl import logging
+from expression import Error, Ok, Result
+
+from loomstand.furrow.frames import Foreign, Reader, pack
+from loomstand.furrow.network import Address, Body, Serve
+from loomstand.orchard.verdict import Refused, Verdict
+
+# Within a region a connection comes up in 3 ms; where it doesn't in this time the machine is gone or cut off.
+CONNECT_WITHIN = 0.5
+# What was sent and not taken by the other machine for so long is lost: calls fail by their time-outs first.
+SILENT_MS = 2000
+# Calls that in a row had no answer before the connection is replaced: behind a cut TCP sends again ever more
+# rarely, and goes on seconds after the cut has healed; a new connection comes up at once.
+PATIENCE = 2
+
+
+class Line(asyncio.Protocol):
+    """One connection, either end of it."""
+
+    def __init__(self, owner: Sockets, serve: Serve | None) -> None:
+        self.owner, self.serve = owner, serve
+        self.reader, self.last, self.silent = Reader(), 0, 0
+        self.waiting: dict[int, asyncio.Future[tuple[bool, Any]]] = {}
+        self.transport: asyncio.Transport | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            with suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.serve is not None:
+            self.owner.incoming.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for number, what, body in self.reader.feed(data):
+                if self.serve is not None and isinstance(what, str) and isinstance(body, dict):
+                    task = asyncio.get_running_loop().create_task(self.answer(number, what, body))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+                elif (waits := self.waiting.pop(number, None)) is not None and not waits.done():
+                    waits.set_result((what is True, body))
+        except Foreign:
+            self.owner.counts["foreign"] += 1
+            self.close()
+
+    async def answer(self, number: int, op: str, body: Body) -> None:
+        try:
+            said, good = await self.serve(op, body), True
+        except Refused as why:
+            said, good = {"why": str(why)}, False
+        except Exception as why:  # a fault of ours in one call: the rest goes on
+            logging.error("call %s failed: %s: %s", op, type(why).__name__, why)
+            self.owner.counts["failed"] += 1
+            return
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(pack([number, good, said]))
+
+    def connection_lost(self, why: Exception | None) -> None:
+        self.owner.gone(self)
+        waiting, self.waiting = self.waiting, {}
+        for waits in waiting.values():
+            if not waits.done():
+                waits.cancel()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Sockets:
+    """`Network` on TCP. `counts` tells of foreign bytes and failed calls."""
+
+    def __init__(self) -> None:
+        self.lines: dict[Address, Line] = {}
+        self.coming: dict[Address, asyncio.Task[Line]] = {}
+        self.incoming: set[Line] = set()
+        self.servers: list[asyncio.Server] = []
+        self.counts: Tally[str] = Tally()
+
+    async def listen(self, address: Address, serve: Serve) -> None:
+        loop = asyncio.get_running_loop()
+        self.servers.append(await loop.create_server(lambda: Line(self, serve), *address))
+
+    async def call(self, address: Address, op: str, body: Body, within: float) -> Result[Body, Verdict]:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within
+        line = self.lines.get(address)
+        if line is None or line.transport is None or line.transport.is_closing():
+            line = await self.connect(address, min(within, CONNECT_WITHIN))
+            if line is None:
+                return Error(Verdict.NEVER_RAN)
+        line.last += 1
+        number, waits = line.last, loop.create_future()
+        line.waiting[number] = waits
+        line.transport.write(pack([number, op, body]))
+        late = loop.call_at(until, waits.cancel)
+        try:
+            good, said = await waits
+        except asyncio.CancelledError:
+            if not waits.cancelled():
+                raise  # this call itself was called off
+            line.waiting.pop(number, None)
+            line.silent += 1
+            if line.silent >= PATIENCE and self.lines.get(address) is line:
+                line.close()
+                del self.lines[address]
+            return Error(Verdict.MAY_HAVE_RUN)
+        finally:
+            late.cancel()
+            line.waiting.pop(number, None)
+        line.silent = 0
+        return Ok(said) if good else Error(Verdict.REFUSED)
+
+    async def connect(self, address: Address, within: float) -> Line | None:
+        """The connection to an address, made once for all who wait for it."""
+        task = self.coming.get(address)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self.open(address))
+            self.coming[address] = task
+            task.add_done_callback(lambda done: self.coming.pop(address, None) and done.exception())
+        try:
+            return await asyncio.wait_for(asyncio.shield(task), within)
+        except (OSError, TimeoutError):
+            return None
+
+    async def open(self, address: Address) -> Line:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_WITHIN):
+            _, line = await loop.create_connection(lambda: Line(self, None), *address)
+        self.lines[address] = line
+        return line
+
+    def gone(self, line: Line) -> None:
+        self.incoming.discard(line)
+        for address, held in list(self.lines.items()):
+            if held is line:
+                del self.lines[address]
+
+    def close(self) -> None:
+        """Ends everything at once."""
+        for server in self.servers:
+            server.close()
+        for line in [*self.lines.values(), *self.incoming]:
+            line.close()
--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -30,8 +30,9 @@
     )
 
     def __init__(self, front: Front) -> None:
-        self.front, self.machine = front, http.RequestReceiver()
-        self.wire = Wire(self, front.limiter.room, http.MOST_RING, front.limiter.most_answer + http.MOST_HEAD)
+        self.front, self.machine = front, http.RequestReceiver(front.most_body)
+        most = front.most_body + http.MOST_HEAD
+        self.wire = Wire(self, front.limiter.room, most, front.limiter.most_answer + http.MOST_HEAD)
         self.req: Asked | None = None
         self.made_at = self.read_at = self.busy_at = front.limiter.turns.since
         self.begun_at: float | None = None  # when the message that is coming in began
@@ -64,7 +65,7 @@
 
     def handle(self) -> None:
         limiter, machine = self.front.limiter, self.machine
-        if machine.target.startswith(b"/-/"):
+        if self.front.own_paths and machine.target.startswith(b"/-/"):
             status = 404
             if machine.target == b"/-/ready" and machine.method == b"GET":
                 status = 200 if limiter.able else 503
@@ -136,6 +137,7 @@
         # PROTOCOL: for reqs clients hold a third of the descriptors at most, which those that ask once and
         # stay would use up; half of it is left to usual ones
         self.most_held = sockets // 6
+        self.stays, self.most_body, self.own_paths = STAYS, http.MOST_BODY, True
         self.clients: dict[Client, None] = {}
         self.server: asyncio.Server | None = None
         self.stopping = False
@@ -206,7 +208,7 @@
         clients ask once, or nothing, and keep their connection for good."""
         now = self.limiter.loop.time()
         for client in list(self.clients):
-            if now - client.busy_at > STAYS and client.free:
+            if now - client.busy_at > self.stays and client.free:
                 client.wire.stop(Ending.IDLE)
             elif now - client.began > patience and client.stuck:
                 client.expel()
--- a/loomstand/net/http.py
+++ b/loomstand/net/http.py
@@ -18,14 +18,18 @@
 REASONS = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
+    421: "Misdirected Request",
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
     501: "Not Implemented",
     502: "Bad Gateway",
     503: "Service Unavailable",
+    504: "Gateway Timeout",
     505: "HTTP Version Not Supported",
 }
 
@@ -244,7 +248,7 @@
 
 
 def answer(status: int, body: bytes = b"", extra: str = "", close: bool = False) -> bytes:
-    """An answer to a client."""
+    """An answer to a client; `extra` holds whole field lines."""
     end = "Connection: close\r\n\r\n" if close else "\r\n"
     head = f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\nContent-Length: {len(body)}\r\n{extra}{end}"
-    return head.encode() + body
+    return head.encode("latin-1") + body
--- a/loomstand/net/req.py
+++ b/loomstand/net/req.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Container
 from functools import lru_cache
 
 from loomstand.door import digest
@@ -12,11 +13,12 @@
 
 ACCOUNT = re.compile(rb"[?&]account=([0-9a-fA-F]{16})(?:&|$)").search
 DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?").fullmatch
-# fields of one connection, or that are written anew for a server
-OWN_FIELDS = {
+# fields of one connection, or that are written anew
+HOP_FIELDS = {
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"expect", b"content-length", b"request-timeout-ms",
+    b"expect", b"content-length",
 }  # fmt: skip
+OWN_FIELDS = HOP_FIELDS | {b"request-timeout-ms"}
 
 
 class Names:
@@ -48,17 +50,40 @@
 
 
 class Req:
-    """A req that is owed its answer, or whose dispatches are still out."""
+    """A message that is owed its answer, or whose dispatches are still out."""
 
-    __slots__ = (
-        "body", "client", "customer", "fields", "first", "flights", "frontend", "give_up", "head", "id",
-        "line", "plan", "retry", "set_size", "timeout", "units",
-    )  # fmt: skip
+    __slots__ = ("body", "client", "fields", "flights", "give_up", "head", "id", "line")
+
+    def __init__(self, machine: RequestReceiver) -> None:
+        self.fields, self.body = machine.fields, machine.body
+        self.line, self.head = (machine.method, machine.target), b""
+        self.id = self.give_up = 0
+        self.client: Asker | None = None
+        self.flights: list[Flight | None] = []
+
+    def onward(self, left_out: Container[bytes]) -> bytes:
+        """The head for a server, without its last line; `left_out` names the fields that don't go on."""
+        if not self.head:
+            lines = [b"%b: %b\r\n" % pair for pair in self.fields.items() if pair[0] not in left_out]
+            if self.body or self.line[0] != b"GET":
+                lines.append(b"content-length: %d\r\n" % len(self.body))
+            self.head = b"%b %b HTTP/1.1\r\n%b" % (*self.line, b"".join(lines))
+        return self.head
+
+    def raw(self, wait: int) -> bytes:
+        """The bytes for a server; `wait` is how long its answer is waited for, in ms."""
+        raise NotImplementedError
+
+
+class AccountReq(Req):
+    """A req of an account, with a plan and a frontend."""
+
+    __slots__ = ("customer", "first", "frontend", "plan", "retry", "set_size", "timeout", "units")
 
     def __init__(self, machine: RequestReceiver, names: Names) -> None:
         """What is missing or odd is a 400, an unknown frontend a 404."""
-        fields = self.fields = machine.fields
-        target = machine.target
+        super().__init__(machine)
+        fields, target = machine.fields, machine.target
         wait, account = fields.get(b"request-timeout-ms", b""), ACCOUNT(target)
         if not fields.get(b"request-id") or not number(wait) or not account:
             raise Malformed(400, "a req needs Request-Id, Request-Timeout-Ms and an account")
@@ -73,19 +98,9 @@
         self.units, self.set_size, self.first = names.terms(fields.get(b"x-call-terms", b""))
         self.customer = names.customer(account[1])
         self.timeout, self.retry = int(wait), fields.get(b"client-retry") == b"1"
-        self.line, self.body, self.head = (machine.method, target), machine.body, b""
-        self.id = self.give_up = 0
-        self.client: Asker | None = None
-        self.flights: list[Flight | None] = []
 
     def raw(self, wait: int) -> bytes:
-        """The bytes for a server; `wait` is how long its answer is waited for, in ms."""
-        if not self.head:
-            lines = [b"%b: %b\r\n" % pair for pair in self.fields.items() if pair[0] not in OWN_FIELDS]
-            if self.body or self.line[0] != b"GET":
-                lines.append(b"content-length: %d\r\n" % len(self.body))
-            self.head = b"%b %b HTTP/1.1\r\n%b" % (*self.line, b"".join(lines))
-        return b"%brequest-timeout-ms: %d\r\n\r\n%b" % (self.head, wait, self.body)
+        return b"%brequest-timeout-ms: %d\r\n\r\n%b" % (self.onward(OWN_FIELDS), wait, self.body)
 
 
 class Flight:
@@ -97,3 +112,7 @@
         self.req, self.number, self.srv, self.sent_at, self.expire = req, number, srv, sent_at, expire
         self.link: Carrier | None = None
         self.timer = None
+
+    def raw(self, wait: int) -> bytes:
+        """The bytes for its server; `wait` is how long the answer is waited for, in ms."""
+        return self.req.raw(wait)
--- a/loomstand/net/servers.py
+++ b/loomstand/net/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from loomstand.interface import Outcome
 from loomstand.net import http
 from loomstand.net.driver import Wire, connect
@@ -13,14 +15,14 @@
 class Link:
     """A connection to a server: one dispatch at a time."""
 
-    __slots__ = ("flight", "idle_at", "machine", "pool", "sent", "srv", "wire")
+    __slots__ = ("flight", "idle_at", "machine", "pool", "sent", "srv", "stays", "wire")
 
     def __init__(self, pool: Pool, srv: int) -> None:
         self.pool, self.srv, self.sent = pool, srv, False
         self.machine = http.ResponseReceiver(pool.limiter.most_answer)
         self.wire = Wire(self, pool.limiter.room, pool.limiter.most_answer + http.MOST_HEAD)
         self.flight: Flight | None = None
-        self.idle_at = 0.0
+        self.idle_at, self.stays = 0.0, inf  # as the server says, in seconds; it may not
 
     def opened(self) -> None:
         self.write()
@@ -28,7 +30,7 @@
     def write(self) -> None:
         loop, flight = self.pool.limiter.loop, self.flight
         wait = max(1, (flight.expire - self.pool.limiter.now()) // 10)
-        self.sent = self.wire.send(flight.req.raw(wait))
+        self.sent = self.wire.send(flight.raw(wait))
         if not self.sent:
             loop.call_soon(self.wire.stop, Ending.NO_ROOM)
 
@@ -43,16 +45,25 @@
         except http.Malformed as why:
             self.wire.stop(Ending.OVERSIZED if why.status in (413, 431) else Ending.MALFORMED)
             return
+        self.took()
+
+    def took(self) -> None:
+        """A whole answer has come."""
+        flight, machine = self.flight, self.machine
         status, fields, body, close = machine.status, machine.fields, machine.body, machine.close
+        self.done(close)
+        used = fields.get(b"x-ratelimit-used", b"")
+        metered = int(used) + 1 if http.number(used) else 0
+        self.pool.limiter.came(flight, answered(status, fields.get(b"not-started") == b"1"), metered, body)
+
+    def done(self, close: bool) -> None:
+        """The dispatch has its answer: the connection is kept, or closed."""
         self.flight = None
-        machine.reset()
+        self.machine.reset()
         if close or self.wire.inbound.used or not self.wire.written:  # nothing may follow an early answer
             self.pool.shut(self, Ending.FINISHED)
         else:
             self.pool.keep(self)
-        used = fields.get(b"x-ratelimit-used", b"")
-        metered = int(used) + 1 if http.number(used) else 0
-        self.pool.limiter.came(flight, answered(status, fields.get(b"not-started") == b"1"), metered, body)
 
     def ended(self, why: Ending) -> None:
         self.pool.limiter.endings[f"server {why.name.lower()}"] += 1
@@ -65,6 +76,8 @@
 class Pool:
     """Connections to all servers."""
 
+    link: type[Link] = Link
+
     def __init__(self, limiter: Sends, connect_timeout: float, idle_close: float) -> None:
         self.limiter, self.connect_timeout = limiter, connect_timeout
         # A connection is not used again so near its idle close that a req could cross it; a server that
@@ -93,7 +106,7 @@
         now, idle = self.limiter.loop.time(), self.idle.get(flight.srv)
         while idle:
             link = idle.pop()
-            if now - link.idle_at < self.idle_most and not link.wire.unread:
+            if now - link.idle_at < min(self.idle_most, link.stays) and not link.wire.unread:
                 self.board(link, flight)
                 link.write()
                 return
@@ -101,7 +114,7 @@
         if self.limiter.spare_sockets() <= 0 and not self.limiter.make_room():
             self.limiter.loop.call_soon(self.limiter.came, flight, outcome(Ending.NO_ROOM, False))
             return
-        link = Link(self, flight.srv)
+        link = self.link(self, flight.srv)
         self.links[link] = None
         self.board(link, flight)
         connect(self.limiter.loop, link.wire, address, self.connect_timeout)
@@ -150,5 +163,5 @@
         """Closes what has been idle too long to be used again."""
         now = self.limiter.loop.time()
         for links in list(self.idle.values()):
-            for link in [v for v in links if now - v.idle_at >= self.idle_most]:
+            for link in [v for v in links if now - v.idle_at >= min(self.idle_most, v.stays)]:
                 self.shut(link, Ending.IDLE)
--- /dev/null
+++ b/loomstand/nursery/program.py
@@ -0,0 +1,381 @@
+"""The registry: drives its tables by what limiters, other registries and the calls from outside say."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+from expression import Result
+
+from loomstand.furrow.network import Address, Body, Network
+from loomstand.nursery.beds import DRAINING, READY, Bed, Beds, from_row
+from loomstand.nursery.hands import Hands
+from loomstand.nursery.matchers import Asked, method, path, query
+from loomstand.nursery.tally import Tally
+from loomstand.orchard.configuration import ConfigurationError, parse
+from loomstand.orchard.settings import Settings
+from loomstand.orchard.units import UnitError, address, seconds
+from loomstand.orchard.verdict import Refused, Verdict
+
+TELL = 1.0  # seconds between what registries tell each other unasked: half of what a session stands
+TOLD_WITHIN = 0.35  # a drain's acknowledgement waits so long for the others; servers wait a second for it
+STATUS = 0.4  # seconds between looks at the lease: it is a third of the lease's length
+STORE_WITHIN = 0.95  # operators wait a second
+READ_WITHIN = 0.8
+
+
+class BadCall(Exception):
+    """A call from outside that can't be understood: 400 with these words."""
+
+
+class Nursery:
+    """One registry. `clock` is steady, in seconds; `wall` is the time of day at the start, in seconds."""
+
+    def __init__(
+        self, settings: Settings, network: Network, clock: Callable[[], float], wall: float | None = None
+    ) -> None:
+        self.settings, self.network, self.clock = settings, network, clock
+        self.life = f"{time.time_ns() if wall is None else int(wall * 1e9):x}-{settings.ip_address}"
+        self.beds, self.hands, self.tally = Beds(settings.heartbeat), Hands(), Tally()
+        self.ahead = (time.time() if wall is None else wall) - clock()  # the limiters' common clock
+        self.own: dict[str, int] = {}  # the servers that spoke here lately, with their sequence
+        self.facts = 0  # grows with what limiters hear beside servers
+        self.version, self.data = 0, b""  # the configuration
+        self.sure = False  # whether it is known to be the newest: a primary was heard of
+        self.timed = False  # whether that clock is known to be theirs
+        self.lease_until, self.counter = 0.0, ""  # until when this one counts; who does, as far as is known
+        self.cores: tuple[str, ...] = tuple({settings.ip_address, *(ip for ip, _ in settings.seeds)})
+        self.waiting: set[asyncio.Future[None]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.stopping = False
+        self.calls = path(
+            {
+                "/api/rpc": method(
+                    {
+                        "POST": query(
+                            "call",
+                            {
+                                "instances.heartbeat": self.heartbeat,
+                                "instances.leave": self.leaving,
+                                "configuration.replace": self.replace,
+                                "configuration.read": self.read,
+                            },
+                        )
+                    }
+                )
+            }
+        )
+        self.ops = {
+            "ask": self.ask, "fetch": self.fetch, "count": self.count, "bye": self.bye, "offer": self.offer,
+            "tell": self.told, "whole": self.whole,
+        }  # fmt: skip
+
+    # life
+
+    async def run(self) -> None:
+        """Serves until `stop`."""
+        await self.network.listen(self.settings.nursery(self.settings.ip_address), self.serve)
+        await asyncio.gather(self.greet(), self.watch(), self.lease(), self.tend())
+
+    def stop(self) -> None:
+        self.stopping = True
+        self.wake()
+
+    def others(self) -> list[Address]:
+        return [self.settings.nursery(ip) for ip in self.cores if ip != self.settings.ip_address]
+
+    def wake(self) -> None:
+        """Something limiters hear of has changed."""
+        waiting, self.waiting = self.waiting, set()
+        for waits in waiting:
+            if not waits.done():
+                waits.set_result(None)
+
+    def fact(self) -> None:
+        self.facts += 1
+        self.wake()
+
+    async def news(self, there: Callable[[], bool], within: float) -> None:
+        """Waits until there is news, at most `within` seconds."""
+        until = self.clock() + within
+        while not there() and (left := until - self.clock()) > 0 and not self.stopping:
+            waits: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self.waiting.add(waits)
+            try:
+                await asyncio.wait_for(waits, left)
+            except TimeoutError:
+                return
+            finally:
+                self.waiting.discard(waits)
+
+    # the system's own calls
+
+    async def serve(self, op: str, body: Body) -> Body:
+        if (known := self.ops.get(op)) is None:
+            raise Refused(f"no call {op!r}")
+        try:
+            return await known(body)
+        except (KeyError, TypeError, ValueError) as why:
+            raise Refused(f"{op}: {type(why).__name__}: {why}") from None
+
+    async def ask(self, body: Body) -> Body:
+        """A limiter's session: what is newer than what it has, at once, else when there is something."""
+        name, life, have, facts = str(body["name"]), body["life"], int(body["have"]), int(body["facts"])
+        self.hands.spoke(name, self.clock())
+        self.heed()
+        if not self.timed and body.get("clock"):  # all registries started anew: the limiters' clock goes on
+            self.timed, self.ahead = True, float(body["clock"]) / 1e4 - self.clock()
+        theirs = int(body["config"])
+        if life != self.life:
+            have = facts = -1
+
+        def there() -> bool:
+            return self.beds.version > have or self.facts != facts or self.version > theirs
+
+        await self.news(there, min(2.0, float(body["within"])))
+        now = self.clock()
+        self.hands.spoke(name, now)
+        said = {
+            "life": self.life, "have": self.beds.version, "rows": self.beds.news(have, now),
+            "facts": self.facts, "config": self.version, "sure": self.sure,
+            "clock": round((now + self.ahead) * 1e4),
+        }  # fmt: skip
+        if self.facts != facts:
+            counter = [*self.settings.nursery(self.counter)] if self.counter else None
+            present, missing = list(self.hands.present), list(self.hands.missing)
+            said |= {"members": present, "missing": missing, "counter": counter, "cores": list(self.cores)}
+        if theirs > self.version:
+            said["give"] = True  # it may be all that is left of a configuration
+        return said
+
+    def heed(self) -> None:
+        """Tells limiters if their set has changed."""
+        if self.hands.version != getattr(self, "hands_told", 0):
+            self.hands_told = self.hands.version
+            self.fact()
+
+    async def fetch(self, body: Body) -> Body:
+        return {"version": self.version, "data": self.data}
+
+    async def offer(self, body: Body) -> Body:
+        """A limiter holds a newer configuration than this registry: the store may have lost it."""
+        version, data = int(body["version"]), bytes(body["data"])
+        if version > self.version:
+            await self.store("offer", {"version": version, "data": data}, STORE_WITHIN)
+        return {}
+
+    async def count(self, body: Body) -> Body:
+        now = self.clock()
+        if now >= self.lease_until:
+            raise Refused("another counts")
+        total = self.tally.add(int(body["name"]), float(body["step"]), float(body["keep"]), now)
+        return {"total": total, "clock": round((now + self.ahead) * 1e4)}
+
+    async def bye(self, body: Body) -> Body:
+        self.hands.ended(str(body["name"]), self.clock())
+        self.heed()
+        if not body.get("told"):
+            await self.tell_all("bye", {"name": body["name"], "told": True}, TOLD_WITHIN)
+        return {}
+
+    async def whole(self, body: Body) -> Body:
+        """For a registry that has just started."""
+        now = self.clock()
+        ages = {id_: now - at for id_, at in self.beds.heard.items()}
+        return {"rows": self.beds.news(0, now), "ages": ages, "clock": now + self.ahead, "timed": self.timed}
+
+    async def told(self, body: Body) -> Body:
+        """Another registry tells what it heard: rows of servers that changed, and who is alive."""
+        now, ages = self.clock(), body.get("ages", {})
+        for row in body.get("rows", ()):
+            self.sow(row, now, float(ages.get(row[0], 0.0)))
+        alive = body.get("alive", {})
+        unknown = [i for i, (sequence, age) in alive.items() if not self.beds.alive(i, sequence, now - age)]
+        for name, age in body.get("hands", {}).items():
+            self.hands.told(name, now - float(age), now)
+        if body.get("counts") and now >= self.lease_until:
+            self.timed, self.ahead = True, float(body["clock"]) - now
+        self.heed()
+        return {"unknown": unknown}
+
+    def sow(self, row: list[Any], now: float, age: float) -> None:
+        if self.beds.take(from_row(row, now), now - age):
+            self.wake()
+
+    async def tell_all(self, op: str, body: Body, within: float) -> list[Result[Body, Verdict]]:
+        others = self.others()
+        return await asyncio.gather(*(self.network.call(to, op, body, within) for to in others))
+
+    # its own rounds
+
+    async def greet(self) -> None:
+        """Takes what the others know, so that nobody waits for the next heartbeats."""
+        for got in await self.tell_all("whole", {}, 0.5):
+            if got.is_ok():
+                now, body = self.clock(), got.ok
+                for row in body["rows"]:
+                    self.sow(row, now, float(body["ages"].get(row[0], 0.0)))
+                if body["timed"]:
+                    self.timed, self.ahead = True, float(body["clock"]) - now
+
+    async def tend(self) -> None:
+        """Once a second: what has fallen silent, and what the others need to hear."""
+        while not self.stopping:
+            await asyncio.sleep(TELL)
+            now = self.clock()
+            self.hands.sweep(now)
+            self.tally.sweep(now)
+            if self.beds.sweep(now):
+                self.wake()
+            self.heed()
+            heard, self.own = self.own, {}
+            alive = {i: [n, now - self.beds.heard.get(i, now)] for i, n in heard.items()}
+            hands = {name: now - at for name, at in self.hands.own.items() if now - at < 2 * TELL}
+            counts = now < self.lease_until
+            said = {"alive": alive, "hands": hands, "clock": now + self.ahead, "counts": counts}
+            for to in self.others():
+                self.spawn(self.tell(to, said))
+
+    async def tell(self, to: Address, said: Body) -> None:
+        got = await self.network.call(to, "tell", said, TELL)
+        if got.is_ok() and (unknown := got.ok.get("unknown")):
+            now = self.clock()
+            ages = {i: now - self.beds.heard.get(i, now) for i in unknown}
+            rows = list(self.beds.rows(unknown, now))
+            await self.network.call(to, "tell", {"rows": rows, "ages": ages}, TELL)
+
+    def spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def watch(self) -> None:
+        """Asks the store beside it for news of the configuration and of the core's machines."""
+        here = self.settings.granary(self.settings.ip_address)
+        while not self.stopping:
+            got = await self.network.call(here, "wait", {"have": self.version, "within": 1.0}, 1.5)
+            if got.is_ok():
+                self.heard_store(got.ok)
+            else:
+                await asyncio.sleep(0.1)
+
+    async def lease(self) -> None:
+        """Looks at the store's lease: who holds it counts. The time left counts from the asking."""
+        here = self.settings.granary(self.settings.ip_address)
+        while not self.stopping:
+            asked = self.clock()
+            got = await self.network.call(here, "status", {}, STATUS)
+            self.lease_until = asked + float(got.ok.get("lease_left", 0.0)) if got.is_ok() else 0.0
+            if got.is_ok():
+                self.heard_store(got.ok)
+            await asyncio.sleep(STATUS)
+
+    def heard_store(self, said: Body) -> None:
+        """What the store says of itself."""
+        if int(said["version"]) > self.version and "data" in said:
+            self.version, self.data = int(said["version"]), bytes(said["data"])
+            logging.info("configuration r%d held", self.version)
+            self.wake()
+        primary = said.get("primary")
+        counter = str(primary[0]) if primary else self.counter
+        sure = bool(said.get("ready")) and primary is not None and int(said["version"]) <= self.version
+        cores = tuple(sorted({self.settings.ip_address, *(str(a[0]) for a in said.get("cores", ()))}))
+        if (counter, sure, cores) != (self.counter, self.sure, self.cores):
+            self.counter, self.sure, self.cores = counter, sure, cores
+            self.fact()
+
+    async def store(self, op: str, body: Body, within: float) -> Result[Body, Verdict]:
+        """Calls the store: the one beside this registry hands on to the primary; others where it is down."""
+        here, until = self.settings.ip_address, self.clock() + within
+        got = await self.network.call(self.settings.granary(here), op, body, within)
+        for ip in self.cores:
+            left = until - self.clock()
+            if got.is_ok() or got.error is not Verdict.NEVER_RAN or left < 0.05:
+                break
+            if ip != here:
+                got = await self.network.call(self.settings.granary(ip), op, body, left)
+        return got
+
+    # calls from outside
+
+    async def outside(self, method: bytes, target: bytes, body: bytes) -> tuple[int, bytes]:
+        """Status and body of the answer to a call of a server or an operator."""
+        asked = Asked.of(method, target)
+        found = self.calls.match(asked)
+        if isinstance(found, int):
+            return found, problem(f"no call {asked.method} {asked.path} call={asked.query.get('call', '')}")
+        try:
+            return await found(asked, body)
+        except BadCall as why:
+            return 400, problem(str(why))
+
+    async def heartbeat(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        bed = beat(asked.query.get("of", ""), body, self.clock())
+        now = self.clock()
+        self.own[bed.id] = max(bed.sequence, self.own.get(bed.id, 0))
+        if self.beds.take(bed, now):
+            self.wake()
+            said = {"rows": list(self.beds.rows([bed.id], now))}
+            if bed.state == DRAINING:
+                await self.tell_all("tell", said, TOLD_WITHIN)
+            else:
+                for to in self.others():
+                    self.spawn(self.network.call(to, "tell", said, TELL))
+        return 200, b"{}"
+
+    async def leaving(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        id_ = asked.query.get("of", "")
+        if not id_:
+            raise BadCall("of: a server's id is needed")
+        if self.beds.leave(id_):
+            self.wake()
+            await self.tell_all("tell", {"rows": list(self.beds.rows([id_], self.clock()))}, TOLD_WITHIN)
+        return 200, b"{}"
+
+    async def replace(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        try:
+            configuration = parse(body)
+        except ConfigurationError as why:
+            return 400, problem(str(why))
+        got = await self.store("put", {"version": configuration.version, "data": body}, STORE_WITHIN)
+        if got.is_ok():
+            return 200, json.dumps({"version": f"r{int(got.ok['version'])}"}).encode()
+        return 503, problem(f"not stored: {got.error.value}")
+
+    async def read(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        got = await self.store("read", {}, READ_WITHIN)
+        if got.is_ok() and got.ok.get("data"):
+            return 200, bytes(got.ok["data"])
+        return 503, problem("no store that knows the newest is in reach")
+
+
+def problem(text: str) -> bytes:
+    return json.dumps({"error": text}).encode()
+
+
+def beat(id_: str, body: bytes, now: float) -> Bed:
+    """The server of a heartbeat. Raises BadCall, naming the field."""
+    if not id_:
+        raise BadCall("of: a server's id is needed")
+    field = "body"
+    try:
+        said = json.loads(body)
+        field = "address"
+        where = str(said["address"])
+        address(where)
+        field = "information"
+        info = said["information"]
+        service, zone, slots = str(info["service_name"]), str(info["zone"]), int(info["capacity_slots"])
+        field = "status"
+        status = said["status"]
+        state, sequence = str(status["state"]), int(status["sequence"])
+        cold = seconds(str(status.get("cold_remaining", "0ms")))
+        if state not in (READY, DRAINING):
+            raise ValueError(f"state {state!r}")
+    except (ValueError, KeyError, TypeError, UnitError, RecursionError) as why:
+        raise BadCall(f"{field}: {type(why).__name__}: {why}") from None
+    return Bed(id_, where, service, zone, slots, state, sequence, now + cold)
--- /dev/null
+++ b/loomstand/orchard/configuration.py
@@ -0,0 +1,343 @@
+"""The operator's configuration, read and checked by hand before anything is written or put in force.
+
+`parse` either gives the whole of it or raises ConfigurationError; nothing else comes out, whatever the bytes.
+Fields and kinds of resource that nobody here knows are skipped. A field that is absent, or null, has the
+default that stands beside it below; what a route can't be understood without is needed.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any, Final
+
+from loomstand.orchard.units import UnitError, seconds, shown, version
+
+MOST_TIMEOUT = 600.0  # seconds: ten minutes, by the protocol
+MOST = 2.0**63  # no figure of a configuration comes near; sums of those under it stay finite
+CONNECTIONS = 100  # of a service that doesn't say: a little under the least seen, 110
+_NEEDED: Final[Any] = object()
+# What would end a line of a header or of a log, or can't be written as UTF-8.
+_UNFIT = re.compile("[\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]")
+_SHOWN = 60  # characters of a name in a message
+
+
+class ConfigurationError(ValueError):
+    """A configuration that is refused: one line that says where and what. No key stands in it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of a host (in small letters) under a prefix go. Times are in seconds; of `split`, each
+    is a service and its weight, the weights of 0 or more and not all 0; `priority` 0 is the highest."""
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout: float
+    target_latency: float
+    priority: int
+    split: tuple[tuple[str, float], ...]
+    attempts: int
+    public: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """How a service's servers are asked about their health, and how many connections each takes from all."""
+
+    name: str
+    health_check_path: str
+    connection_limit: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """A customer: `rate` requests a second and `burst` beyond, over all limiters; 0 is unlimited."""
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)  # never in a log
+    priority: int
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What a client may send, in bytes, and how long it may take or be idle, in seconds."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 67108864
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    """A whole configuration and the bytes it came in. `tenants` is None where that kind doesn't appear at
+    all: then no request needs a key."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    tenants: tuple[Tenant, ...] | None
+    limits: Limits
+    raw: bytes = field(repr=False)
+
+
+class _Part:
+    """A JSON object and the words for its place."""
+
+    __slots__ = ("path", "place", "values")
+
+    def __init__(self, values: Any, place: str, path: str) -> None:
+        if not isinstance(values, dict):
+            raise ConfigurationError(f"{(place + path).removesuffix(': ') or 'JSON'}: not an object")
+        self.values: dict[str, Any] = values
+        self.place, self.path = place, path + "." if path else ""
+
+    def wrong(self, key: str, what: str) -> ConfigurationError:
+        return ConfigurationError(f"{self.place}{self.path}{key}: {what}")
+
+    def get(self, key: str, default: Any) -> Any:
+        value = self.values.get(key)
+        if value is not None:
+            return value
+        if default is _NEEDED:
+            raise self.wrong(key, "missing")
+        return default
+
+    def text(self, key: str, default: Any = _NEEDED) -> str:
+        return self.fit(key, self.get(key, default))
+
+    def fit(self, key: str, value: Any) -> str:
+        if not isinstance(value, str):
+            raise self.wrong(key, "not a text")
+        if _UNFIT.search(value):
+            raise self.wrong(key, "a character that can't be sent on")
+        return value
+
+    def name(self, key: str, default: Any = _NEEDED) -> str:
+        value = self.text(key, default)
+        if not value.strip():
+            raise self.wrong(key, "empty")
+        return value
+
+    def number(self, key: str, default: Any = _NEEDED) -> float:
+        value = self.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self.wrong(key, "not a number")
+        if not 0 <= value <= MOST:
+            raise self.wrong(key, "negative" if value < 0 else "too large a number")
+        return float(value)
+
+    def whole(self, key: str, default: Any = _NEEDED) -> int:
+        value = self.number(key, default)
+        if not value.is_integer():
+            raise self.wrong(key, "not a whole number")
+        return int(value)
+
+    def seconds(self, key: str, default: Any = _NEEDED) -> float:
+        value = self.get(key, default)
+        if value is default:
+            return value
+        try:
+            return seconds(self.fit(key, value))
+        except UnitError as wrong:
+            raise self.wrong(key, str(wrong)) from None
+
+    def flag(self, key: str, default: bool) -> bool:
+        value = self.get(key, default)
+        if not isinstance(value, bool):
+            raise self.wrong(key, "neither true nor false")
+        return value
+
+    def items(self, key: str, default: Any = _NEEDED) -> list[Any]:
+        value = self.get(key, default)
+        if not isinstance(value, list | tuple):
+            raise self.wrong(key, "not a list")
+        return list(value)
+
+
+def _once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found = dict(pairs)
+    if len(found) < len(pairs):
+        keys = [key for key, _ in pairs]
+        raise ConfigurationError(f"JSON: key {shown(next(k for k in keys if keys.count(k) > 1))} given twice")
+    return found
+
+
+def _constant(name: str) -> Any:
+    raise ConfigurationError(f"JSON: {name} is not a number")
+
+
+def _json(raw: bytes) -> Any:
+    try:
+        return json.loads(raw.decode("utf-8"), object_pairs_hook=_once, parse_constant=_constant)
+    except ConfigurationError:
+        raise
+    except UnicodeDecodeError as wrong:
+        raise ConfigurationError(f"not UTF-8 at byte {wrong.start}") from None
+    except json.JSONDecodeError as wrong:
+        raise ConfigurationError(f"JSON: {wrong}") from None
+    except ValueError:
+        raise ConfigurationError("JSON: a number of too many digits") from None
+    except RecursionError:
+        raise ConfigurationError("JSON: nested too deep") from None
+
+
+def _split(spec: _Part) -> tuple[tuple[str, float], ...]:
+    """The services of a route with their weights; `traffic_split` goes before `service_name`."""
+    shares = spec.items("traffic_split", ())
+    single = spec.text("service_name", "")
+    if not shares:
+        if not single:
+            raise spec.wrong("service_name", "missing, and there is no traffic_split")
+        return ((single, 1.0),)
+    out = []
+    for n, share in enumerate(shares):
+        part = _Part(share, spec.place, f"{spec.path}traffic_split[{n}]")
+        out.append((part.name("service_name"), part.number("weight")))
+    if sum(weight for _, weight in out) <= 0:
+        raise spec.wrong("traffic_split", "the weights add up to 0")
+    return tuple(out)
+
+
+def _route(name: str, spec: _Part) -> Route:
+    # Only ASCII has small letters in a Host header.
+    host = spec.name("host").encode().lower().decode()
+    prefix = spec.text("path_prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise spec.wrong("path_prefix", f"{shown(prefix)} doesn't begin and end with a slash")
+    kind = spec.text("route_kind")
+    if kind not in ("idempotent", "non_idempotent"):
+        raise spec.wrong("route_kind", f"{shown(kind)} is neither idempotent nor non_idempotent")
+    timeout = spec.seconds("timeout")
+    if timeout > MOST_TIMEOUT:
+        raise spec.wrong("timeout", "over ten minutes")
+    attempts = spec.whole("maximum_attempts", 1)
+    if attempts < 1:
+        raise spec.wrong("maximum_attempts", "0")
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        idempotent=kind == "idempotent",
+        timeout=timeout,
+        target_latency=spec.seconds("target_latency", timeout),
+        priority=spec.whole("priority", 0),
+        split=_split(spec),
+        attempts=attempts,
+        public=spec.flag("public", False),
+    )
+
+
+def _service(name: str, spec: _Part) -> Service:
+    path = spec.text("health_check_path", "/health")
+    if not path.startswith("/") or " " in path:
+        raise spec.wrong("health_check_path", f"{shown(path)} is not a path")
+    return Service(name, path, spec.whole("connection_limit", CONNECTIONS))
+
+
+def _tenant(name: str, spec: _Part) -> Tenant:
+    keys = tuple(spec.fit(f"api_keys[{n}]", key) for n, key in enumerate(spec.items("api_keys", ())))
+    return Tenant(
+        name, keys, spec.whole("priority", 0), spec.number("rate_per_s", 0), spec.number("burst_size", 0)
+    )
+
+
+def _limits(spec: _Part) -> Limits:
+    usual = Limits()
+    return Limits(
+        max_header_bytes=spec.whole("max_header_bytes", usual.max_header_bytes),
+        max_body_bytes=spec.whole("max_body_bytes", usual.max_body_bytes),
+        header_timeout=spec.seconds("header_timeout", usual.header_timeout),
+        idle_timeout=spec.seconds("idle_timeout", usual.idle_timeout),
+    )
+
+
+class _Gathered:
+    """The resources read so far, and where each stood."""
+
+    def __init__(self) -> None:
+        self.places: dict[tuple[str, str], str] = {}
+        self.routes: list[tuple[_Part, Route]] = []
+        self.services: dict[str, Service] = {}
+        self.tenants: list[Tenant] = []
+        self.limits: Limits | None = None
+        self.taken: dict[tuple[str, str], str] = {}
+        self.owners: dict[str, str] = {}
+
+    def add(self, at: int, resource: Any) -> None:
+        whole = _Part(resource, f"resources[{at}]: ", "")
+        kind = whole.text("resource_kind")
+        if kind not in ("routes", "services", "tenants", "limits"):
+            return
+        one = kind.removesuffix("s")
+        if kind == "limits":
+            spec = _Part(whole.get("specification", _NEEDED), f"resources[{at}] limits: ", "specification")
+            if self.limits is not None:
+                raise ConfigurationError(f"resources[{at}] limits: given twice")
+            self.limits = _limits(spec)
+            return
+        metadata = _Part(whole.get("metadata", _NEEDED), f"resources[{at}] {one}: ", "metadata")
+        name = metadata.name("name")
+        place = f"resources[{at}] {one} {name[:_SHOWN]}: "
+        if (kind, name) in self.places:
+            raise ConfigurationError(f"{place}metadata.name: given at {self.places[kind, name]} too")
+        self.places[kind, name] = f"resources[{at}]"
+        spec = _Part(whole.get("specification", _NEEDED), place, "specification")
+        if kind == "routes":
+            self.route(spec, _route(name, spec))
+        elif kind == "services":
+            self.services[name] = _service(name, spec)
+        else:
+            self.tenant(spec, _tenant(name, spec))
+
+    def route(self, spec: _Part, route: Route) -> None:
+        other = self.taken.setdefault((route.host, route.prefix), route.name)
+        if other != route.name:
+            raise spec.wrong("path_prefix", f"host and prefix are those of route {other[:_SHOWN]}")
+        self.routes.append((spec, route))
+
+    def tenant(self, spec: _Part, tenant: Tenant) -> None:
+        for n, key in enumerate(tenant.keys):
+            other = self.owners.setdefault(key, tenant.name)
+            if other != tenant.name:
+                raise spec.wrong(f"api_keys[{n}]", f"tenant {other[:_SHOWN]} has this key too")
+        self.tenants.append(tenant)
+
+    def known(self) -> None:
+        """Every service that a route names is there; only now, as they stand in any order."""
+        for spec, route in self.routes:
+            single = spec.text("service_name", "")  # checked beside a split too, though the split prevails
+            if single and single not in self.services:
+                raise spec.wrong("service_name", f"unknown service {shown(single)}")
+            for n, (service, _) in enumerate(route.split):
+                if service not in self.services:
+                    raise spec.wrong(f"traffic_split[{n}].service_name", f"unknown service {shown(service)}")
+
+
+def parse(raw: bytes) -> Configuration:
+    """The configuration in an operator's body. Raises ConfigurationError."""
+    whole = _Part(_json(raw), "", "")
+    try:
+        number = version(whole.text("version"))
+    except UnitError as wrong:
+        raise whole.wrong("version", str(wrong)) from None
+    gathered = _Gathered()
+    for at, resource in enumerate(whole.items("resources")):
+        gathered.add(at, resource)
+    gathered.known()
+    return Configuration(
+        version=number,
+        routes=tuple(route for _, route in gathered.routes),
+        services=MappingProxyType(gathered.services),
+        tenants=tuple(gathered.tenants) or None,
+        limits=gathered.limits or Limits(),
+        raw=bytes(raw),
+    )
