--- /dev/null
+++ b/loomstand/stile/lanes.py
@@ -0,0 +1,66 @@
+"""Connections to servers in the gateway: what a whole answer is, and whose."""
+
+from __future__ import annotations
+
+import re
+
+from loomstand.interface import Outcome
+from loomstand.net.endings import Ending
+from loomstand.net.req import HOP_FIELDS
+from loomstand.net.servers import Link, Pool
+
+STAYS = re.compile(rb"timeout=([0-9]{1,6})").search
+# A server's idle close and our next request may cross on the way; of a request that can't be repeated nothing
+# is left then. The stated time is in whole seconds, so it may be rounded.
+MARGIN = 1.0
+
+
+class Lane(Link):
+    """One connection to a server. Answers carry the id of their request; a surplus one is passed over."""
+
+    __slots__ = ("surplus",)
+
+    def __init__(self, pool: Pool, srv: int) -> None:
+        super().__init__(pool, srv)
+        self.surplus = False
+
+    def took(self) -> None:
+        flight, machine = self.flight, self.machine
+        status, fields, body, close = machine.status, machine.fields, machine.body, machine.close
+        id_, req = fields.get(b"loomstand-request-id"), flight.req
+        if id_ is not None and id_ != req.request_id:
+            self.surplus = True  # of an earlier request: the right one follows
+            machine.reset()
+            if self.wire.inbound.used:
+                self.received()
+            return
+        not_run = b"loomstand-not-executed" in fields or status == 421
+        good = 200 <= status < 300
+        if good and (id_ is None or not_run or b"loomstand-response-stamp" not in fields):
+            self.wire.stop(Ending.MALFORMED)  # no server's own answer: it may have run
+            return
+        if (said := STAYS(fields.get(b"keep-alive", b""))) is not None:
+            self.stays = max(0.0, int(said[1]) - MARGIN)
+        self.done(close or self.surplus)
+        limiter = self.pool.limiter
+        if not_run:
+            if status == 421:
+                limiter.misdirected(flight)
+            limiter.came(flight, Outcome.TURNED_AWAY)
+            return
+        left_out = HOP_FIELDS
+        if (listed := fields.get(b"connection")) is not None:
+            left_out = HOP_FIELDS | {part.strip().lower() for part in listed.split(b",")}
+        extra = "".join(
+            f"{name.decode('latin-1')}: {value.decode('latin-1')}\r\n"
+            for name, value in fields.items()
+            if name not in left_out
+        )
+        req.got = (status, body, extra)
+        limiter.came(flight, Outcome.SERVER_ERROR if status >= 500 else Outcome.PASSED)
+
+
+class Lanes(Pool):
+    """Connections to all servers."""
+
+    link = Lane
--- /dev/null
+++ b/loomstand/stile/program.py
@@ -0,0 +1,286 @@
+"""The proxy: turns what clients ask into the module's notes, and its actions into bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from absl import logging
+
+from loomstand import interface as i
+from loomstand.brain import Brain
+from loomstand.furrow.network import Network
+from loomstand.furrow.outside import Outside
+from loomstand.interface import Outcome
+from loomstand.net import http
+from loomstand.net.clients import Client, Front
+from loomstand.net.driver import Turns
+from loomstand.net.req import Flight, Req
+from loomstand.net.trunk import Trunk
+from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Row
+from loomstand.orchard.configuration import ConfigurationError, parse
+from loomstand.orchard.routes import Table
+from loomstand.orchard.settings import Settings
+from loomstand.orchard.units import address
+from loomstand.orchard.verdict import Verdict
+from loomstand.stile.asked import Asked, Ride
+from loomstand.stile.lanes import Lanes
+from loomstand.stile.lists import Lists
+from loomstand.stile.sessions import Sessions
+from loomstand.stile.terms import COUNT_WITHIN, Fleet, Terms
+
+# Within a region a connection comes up in 3 ms and a server takes one more; where it doesn't in this time the
+# machine is gone or cut off, and the request has time for another server.
+CONNECT_WITHIN = 0.25
+IDLE_MOST = 4.0  # seconds that a connection to a server is kept idle; where servers state it, it is over 5
+FIXED_SOCKETS = 300  # 200 are reserved; sessions, files, the loop's own, and room for errors
+# After SIGTERM new connections come until the platform has missed two answers, a second apart.
+LINGER = 2.5
+FEW = 0.15  # seconds after which a client that found the servers full may ask again: a third of a usual aim
+NOT_YET = 0.3  # and one that came before there was a configuration
+QUOTA = {"full count", "old total", "ceiling"}
+PHASES = {READY: i.Phase.LIVE, DRAINING: i.Phase.DRAINING, SILENT: i.Phase.DRAINING, GONE: i.Phase.GONE}
+# A limiter that started while no registry knew of a primary serves with what it has after so many seconds.
+UNSURE = 3.0
+CLOCK_OFF = 50  # tenths of a millisecond by which the common clock may be off before it is set anew
+CALL = {
+    Verdict.NEVER_RAN: Outcome.NO_CONNECTION,
+    Verdict.REFUSED: Outcome.TURNED_AWAY,
+    Verdict.MAY_HAVE_RUN: Outcome.NO_ANSWER,
+}
+
+
+class Stile(Trunk):
+    """One proxy."""
+
+    def __init__(self, settings: Settings, network: Network, rng: Random, turns: Turns | None = None) -> None:
+        limits = settings.limits
+        super().__init__(logging.info, turns, limits.memory_mb // 2, limits.file_descriptors - FIXED_SOCKETS)
+        self.conf, self.rng = settings, rng
+        self.front = Front(self, self.spare, limits.file_descriptors)
+        self.front.own_paths, self.front.stays, self.front.most_body = False, 16.0, 1 << 20
+        self.pool = Lanes(self, CONNECT_WITHIN, IDLE_MOST + CONNECT_WITHIN)
+        self.patience = 10.0
+        self.lists = Lists()
+        self.terms = Terms(settings.bounds, list(settings.zones), settings.zone)
+        self.identifiers: dict[int, str] = {}
+        self.indices: dict[str, int] = {}
+        self.by_service: dict[str, set[int]] = {}  # the live servers of each service
+        self.fleet = Fleet()
+        self.table: Table | None = None
+        self.sure_at: float | None = None
+        self.sessions = Sessions(settings, network, self.loop.time, rng, self)
+        self.readiness = Outside(self.ready, turns, 4 << 20, 64, 4096)
+        self.served = False
+        self.brain = self.begin()
+        self.counting_tasks: set[asyncio.Task[None]] = set()
+
+    def begin(self) -> Brain:
+        """The module, from the start."""
+        return Brain(self.terms.settings(self.fleet), self.rng.getrandbits(64), self.now())
+
+    # life
+
+    async def run(self) -> None:
+        """Serves until `stop`, and until all that was taken is answered."""
+        self.loop.set_exception_handler(self.failed)
+        assert self.conf.listen.frontend is not None and self.conf.listen.readiness is not None
+        await self.readiness.listen(self.conf.listen.readiness)
+        await self.front.listen(self.conf.listen.frontend)
+        self.sessions.start()
+        self.loop.call_later(1.0, self.sweep)
+        await self.stopped.wait()
+        await self.sessions.stop()
+        self.readiness.stop()
+
+    def linger(self) -> float:
+        return LINGER
+
+    def reload(self, settings: Settings) -> None:
+        """The settings file has changed."""
+        self.conf = settings
+        self.sessions.reload(settings)
+
+    async def ready(self, method: bytes, target: bytes, body: bytes) -> tuple[int, bytes]:
+        if target.partition(b"?")[0] != b"/api/readiness":
+            return 404, b""
+        return (200 if self.able else 503), b""
+
+    def look(self) -> None:
+        """Ready once there is a configuration that is the newest for sure, and somebody to send to."""
+        known = self.sure_at is not None and (self.loop.time() >= self.sure_at)
+        able = self.table is not None and known and bool(self.by_service) and not self.front.stopping
+        if able != self.able:
+            self.able = able
+            logging.info("ready" if able else "not ready")
+
+    def swept_more(self) -> None:
+        self.look()
+
+    # from the registries
+
+    def servers(self, registry: str, rows: list[Row], anew: bool) -> None:
+        entries = []
+        for id_ in self.lists.told(registry, rows, anew):
+            known = self.lists.servers[id_]
+            srv = self.indices.get(id_)
+            if srv is None:
+                srv = self.indices[id_] = len(self.identifiers)
+                self.identifiers[srv] = id_
+            entries.append(self.entry(srv, known.use, known.service, known.zone, known.address))
+        if entries:
+            self.note(i.Listed(tuple(entries), False))
+            self.look()
+
+    def entry(self, srv: int, use: str, service: str, zone: str, where: str) -> i.Entry:
+        phase = PHASES[use]
+        self.pool.told(srv, None if phase is i.Phase.GONE else address(where))
+        live = self.by_service.setdefault(service, set())
+        (live.add if phase is i.Phase.LIVE else live.discard)(srv)
+        at = self.terms.services.at(service)
+        return i.Entry(srv, phase, self.terms.zones.at(zone), 0, 0, 1.0, 0, at)
+
+    def misdirected(self, flight: Ride) -> None:
+        """Another server has the address: this one is over."""
+        id_ = self.identifiers[flight.srv]
+        known = self.lists.servers.get(id_)
+        if known is not None and known.state != GONE:
+            known.state = GONE
+            entry = self.entry(flight.srv, GONE, known.service, known.zone, known.address)
+            self.loop.call_soon(self.note, i.Listed((entry,), False))
+
+    def limiters(self, members: list[str], missing: list[str]) -> None:
+        fleet = Fleet.of(self.conf.node_name, members, missing)
+        if fleet != self.fleet:
+            self.fleet = fleet
+            self.note(i.Ruled(self.terms.settings(fleet)))
+
+    def configured(self, version: int, data: bytes) -> bool:
+        """A configuration, newer than the one held; swapped whole."""
+        try:
+            configuration = parse(data)
+        except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
+            logging.error("configuration r%d can't be used: %s", version, why)
+            return False
+        self.terms.learn(configuration)
+        self.table = Table.of(configuration)
+        self.front.stays = configuration.limits.idle_timeout + 1
+        self.note(i.Ruled(self.terms.settings(self.fleet)))
+        self.look()
+        return True
+
+    def clock_told(self, clock: int, took: int, sure: bool) -> None:
+        """The common clock as a registry has it, `took` tenths after the asking; news wait, so only a quick
+        answer tells. It is taken until the first request: from then on time doesn't jump here."""
+        if self.sure_at is None:
+            if sure:
+                self.sure_at = self.loop.time()
+            elif self.table is not None:
+                self.sure_at = self.loop.time() + UNSURE
+        elif sure:
+            self.sure_at = min(self.sure_at, self.loop.time())
+        off = clock + took // 2 - self.now()
+        if took < 200 and not self.served and abs(off) > CLOCK_OFF:
+            self.epoch += off * 100_000
+            self.brain = self.begin()
+            rows = [(self.indices[id_], k) for id_, k in self.lists.servers.items() if k.use != GONE]
+            entries = [self.entry(s, k.use, k.service, k.zone, k.address) for s, k in rows]
+            self.note(i.Listed(tuple(entries), True))
+        self.look()
+
+    # from clients
+
+    def take(self, client: Client, machine: http.RequestReceiver, at: float) -> None:
+        """A request has come: if nothing is wrong with it, it is owed one answer from here on."""
+        req = Asked(machine)
+        table = self.table
+        if table is None:
+            client.answer(503, extra=f"Retry-After: {NOT_YET}\r\n")
+            return
+        req.route = table.find(req.host, req.path)
+        if req.route is None:
+            client.answer(404)
+            return
+        if table.needs_key(req.route):
+            req.tenant = table.tenant(req.key)
+            if req.tenant is None:
+                client.answer(401)
+                return
+        if not self.room.take(len(req.body)):
+            client.answer(503, extra=f"Retry-After: {FEW}\r\n")
+            return
+        self.served = True
+        service = self.service(table, req)
+        plan = self.terms.tenants.at(req.tenant.name) if req.tenant else 0
+        self.owed(req, client, req.timeout(), at)
+        front, digest = self.terms.by_route[req.route.name], self.terms.digests[plan]
+        at_service = self.terms.services.at(service)
+        self.note(
+            i.Arrived(req.id, front, plan, plan, digest, req.give_up, 1.0, 0, False, service=at_service)
+        )
+
+    def service(self, table: Table, req: Asked) -> str:
+        """One of the route's services by weight; where that has no server, another that the route allows."""
+        service = table.pick(req.route, self.rng.random())
+        if self.by_service.get(service):
+            return service
+        return next((s for s, weight in req.route.split if weight > 0 and self.by_service.get(s)), service)
+
+    # from servers and the counter
+
+    def came(self, flight: Flight, outcome: Outcome, metered: int = 0, body: bytes = b"") -> None:
+        req = self.landed(flight)
+        if outcome not in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT):
+            req.ran = True
+        if outcome is Outcome.PASSED and req.client is not None:
+            self.answer(req, *req.got)
+        self.ended(flight, outcome)
+
+    def count(self, act: i.Count) -> None:
+        task = self.loop.create_task(self.counting(act))
+        self.counting_tasks.add(task)
+        task.add_done_callback(self.counting_tasks.discard)
+
+    async def counting(self, act: i.Count) -> None:
+        asked = self.now()
+        said = {"name": act.name, "step": act.step, "keep": act.keep / 10_000}
+        got = await self.sessions.count(said, COUNT_WITHIN / 1000)
+        took = self.now() - asked
+        if got.is_ok():
+            self.counted(act.name, Outcome.PASSED, float(got.ok["total"]), took)
+        else:
+            self.counted(act.name, CALL[got.error], 0.0, took)
+
+    # the module
+
+    def flight(self, req: Req, srv: int, expire: int) -> Flight:
+        return Ride(req, len(req.flights), srv, self.now(), expire, self.identifiers[srv])
+
+    def try_limit(self, req: Req) -> int:
+        return req.route.attempts
+
+    def deny(self, act: i.Deny) -> None:
+        req = self.reqs.get(act.req)
+        if req is None or req.client is None:
+            return
+        if req.ran:
+            self.over(req)
+        elif act.why in QUOTA:
+            wait = max(0.05, act.wait / 10_000)
+            self.answer(req, 429, extra=f"Retry-After: {wait:.3f}\r\n")
+        else:
+            self.answer(req, 503, extra=f"Retry-After: {FEW}\r\n")
+        self.forget(req)
+
+    def abort(self, act: i.Abort) -> None:
+        req = self.reqs.get(act.req)
+        if req is not None and req.client is not None:
+            self.over(req)
+            self.forget(req)
+
+    def over(self, req: Asked) -> None:
+        """The last word on a request that may have run: a server's own, if one gave it."""
+        if req.got is not None:
+            self.answer(req, *req.got)
+        else:
+            self.answer(req, 504 if self.now() >= req.give_up - 100 else 502)
--- /dev/null
+++ b/loomstand/stile/sessions.py
@@ -0,0 +1,145 @@
+"""The limiter's sessions with the registries: it asks each with the versions that it has, and hears news."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from absl import logging
+from expression import Error, Result
+
+from loomstand.furrow.network import Address, Body, Network
+from loomstand.nursery.beds import Row
+from loomstand.orchard.settings import Settings
+from loomstand.orchard.verdict import Verdict
+
+ASK = 1.0  # seconds that a registry may take where there is no news: half of what a session stands
+ASK_WITHIN = 1.5
+FETCH_WITHIN = 0.8
+AGAIN = (0.1, 0.5)  # the first and the longest pause, in seconds, before a registry that fails is asked again
+# Seconds for which a registry that nobody lists and that doesn't answer is asked on: seeds may be exchanged.
+FORGOTTEN = 10.0
+
+
+class Hears(Protocol):
+    """Who uses the sessions."""
+
+    def servers(self, registry: str, rows: list[Row], anew: bool) -> None: ...
+
+    def limiters(self, members: list[str], missing: list[str]) -> None: ...
+
+    def configured(self, version: int, data: bytes) -> bool: ...
+
+    def clock_told(self, clock: int, took: int, sure: bool) -> None: ...
+
+    def now(self) -> int: ...
+
+
+class Sessions:
+    """One session for each core machine."""
+
+    def __init__(
+        self, settings: Settings, network: Network, clock: Callable[[], float], rng: Random, user: Hears
+    ) -> None:
+        self.settings, self.network, self.clock, self.rng, self.user = settings, network, clock, rng, user
+        self.version, self.data = 0, b""
+        self.counter: Address | None = None
+        self.counter_facts = ""
+        self.cores: dict[str, asyncio.Task[None]] = {}
+        self.listed: dict[str, float] = {}  # when a core machine was last listed by a registry, or answered
+        self.standing: dict[str, float] = {}  # when each registry last answered
+        self.fetching = False
+        self.stopping = False
+
+    def start(self) -> None:
+        for ip, _ in self.settings.seeds:
+            self.add(ip)
+
+    def reload(self, settings: Settings) -> None:
+        """The seeds may be others now."""
+        self.settings = settings
+        self.start()
+
+    def add(self, ip: str) -> None:
+        self.listed[ip] = self.clock()
+        if ip not in self.cores and not self.stopping:
+            self.cores[ip] = asyncio.get_running_loop().create_task(self.session(ip))
+
+    async def stop(self) -> None:
+        """Ends the sessions: the place is free at once."""
+        self.stopping = True
+        tasks, self.cores = list(self.cores.values()), {}
+        for task in tasks:
+            task.cancel()
+        said = {"name": self.settings.node_name}
+        calls = [self.network.call(self.settings.nursery(ip), "bye", said, 0.2) for ip in self.standing]
+        await asyncio.gather(*calls)
+
+    async def session(self, ip: str) -> None:
+        """Asks one registry again and again."""
+        address, pause = self.settings.nursery(ip), AGAIN[0]
+        life, have, facts = "", 0, -1
+        while True:
+            said = {
+                "name": self.settings.node_name, "life": life, "have": have, "facts": facts,
+                "config": self.version, "within": ASK, "clock": self.user.now(),
+            }  # fmt: skip
+            asked = self.clock()
+            got = await self.network.call(address, "ask", said, ASK_WITHIN)
+            if got.is_error():
+                seed = any(ip == known for known, _ in self.settings.seeds)
+                if self.clock() - self.listed[ip] > FORGOTTEN and not seed:
+                    self.standing.pop(ip, None)
+                    del self.cores[ip]
+                    return
+                await asyncio.sleep(pause * (0.5 + self.rng.random()))
+                pause = min(AGAIN[1], 2 * pause)
+                continue
+            pause, now, body = AGAIN[0], self.clock(), got.ok
+            self.standing[ip] = now
+            self.listed[ip] = now
+            anew = body["life"] != life
+            life, have = body["life"], body["have"]
+            if body["rows"] or anew:
+                self.user.servers(ip, body["rows"], anew)
+            if body["facts"] != facts:
+                facts = body["facts"]
+                self.facts(body)
+            self.user.clock_told(body["clock"], round((now - asked) * 1e4), bool(body["sure"]))
+            if body["config"] > self.version:
+                await self.fetch(address)
+            if body.get("give") and self.data:
+                await self.network.call(
+                    address, "offer", {"version": self.version, "data": self.data}, FETCH_WITHIN
+                )
+
+    def facts(self, body: Body) -> None:
+        for ip in body["cores"]:
+            self.add(ip)
+        if body["counter"]:
+            self.counter = (body["counter"][0], body["counter"][1])
+        self.user.limiters(body["members"], body["missing"])
+
+    async def fetch(self, address: Address) -> None:
+        """Brings the newer configuration, once for all sessions."""
+        if self.fetching:
+            await asyncio.sleep(0.05)  # another session brings it
+            return
+        self.fetching = True
+        try:
+            got = await self.network.call(address, "fetch", {}, FETCH_WITHIN)
+        finally:
+            self.fetching = False
+        if got.is_ok() and got.ok["version"] > self.version:
+            version, data = int(got.ok["version"]), bytes(got.ok["data"])
+            if self.user.configured(version, data):
+                self.version, self.data = version, data
+                logging.info("configuration r%d in force", version)
+
+    async def count(self, body: dict[str, Any], within: float) -> Result[Body, Verdict]:
+        """A call to the counter, wherever it is."""
+        if self.counter is None:
+            return Error(Verdict.NEVER_RAN)
+        return await self.network.call(self.counter, "count", body, within)
--- /dev/null
+++ b/loomstand/stile/terms.py
@@ -0,0 +1,100 @@
+"""What the module is told: routes as frontends, tenants as plans. Pure; indices are for life."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from loomstand.door import Door, digest, down
+from loomstand.interface import Effect, Frontend, Group, Plan, Settings
+from loomstand.orchard.configuration import Configuration, Route, Tenant
+from loomstand.orchard.settings import Bounds
+
+# Late answers have a worth that the configuration doesn't tell: a tenth and three tenths at the sites known.
+LATE = 0.15
+# Parts are scaled down while limiters are cut off and may go on with theirs, but not below this: tenants use
+# some six tenths of their quotas, and where more limiters are gone most were killed and hold nothing.
+LEAST_SCALE = 0.7
+# A total is trusted for a customer well under its quota for so many intervals. Use beyond the quota breaks a
+# rule here, so the last split takes over as soon as one total is missing.
+TRUST = 1.5
+# Of the retry budget (ratio and slack a window, for each service and all limiters) each limiter takes this
+# share of the ratio for what it sends itself, and its even part of this share of the slack, at once.
+RATIO_SHARE, SLACK_SHARE = 0.6, 0.4
+COUNT_WITHIN = 300  # ms for a call to the counter: its turn and back is under 5 where it is there
+NOBODY = "\0public"  # whose requests of public routes are
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """The limiters, as registries tell: this one's place, how many there are, how many of them are silent."""
+
+    me: int = 0
+    all: int = 1
+    silent: int = 0
+
+    @classmethod
+    def of(cls, name: str, members: list[str], missing: list[str]) -> Fleet:
+        names = sorted({name, *members, *missing})
+        return cls(names.index(name), len(names), len(set(missing) - {name}))
+
+
+class Terms:
+    """Hands out the module's indices, and makes its settings."""
+
+    def __init__(self, bounds: Bounds, zones: list[str], zone: str) -> None:
+        self.bounds = bounds
+        self.zones, self.services, self.tenants = Door(zones), Door(), Door([NOBODY])
+        self.hall = self.zones.at(zone)
+        self.fronts: dict[Frontend, int] = {}
+        self.digests = {0: digest(NOBODY)}
+        self.by_route: dict[str, int] = {}
+        self.quotas: dict[int, Tenant] = {}
+
+    def learn(self, configuration: Configuration) -> None:
+        """A new configuration is in force."""
+        self.by_route = {}
+        for route in configuration.routes:
+            front = frontend(route)
+            self.by_route[route.name] = self.fronts.setdefault(front, len(self.fronts))
+            for service, _ in route.split:
+                self.services.at(service)
+        self.quotas = {}
+        for tenant in configuration.tenants or ():
+            n = self.tenants.at(tenant.name)
+            self.quotas[n] = tenant
+            self.digests[n] = digest(tenant.name)
+
+    def settings(self, fleet: Fleet) -> Settings:
+        """The module's settings, as a snapshot."""
+        scale = max(LEAST_SCALE, 1 - fleet.silent / fleet.all)
+        plans = []
+        for n in range(self.tenants.next):
+            tenant = self.quotas.get(n)
+            rate = tenant.rate * scale if tenant else 0.0
+            burst = max(tenant.burst * scale, 1.0) if tenant and tenant.rate else 0.0
+            # use beyond the quota is worth nothing and breaks a rule
+            plans.append(Plan(rate, burst, 0, value_of(tenant), 0.0, 1.0, 0.0, 0.0, 0.0))
+        b = self.bounds
+        return Settings(
+            me=fleet.me, limiters=fleet.all, hall=self.hall, frontends=tuple(self.fronts), plans=tuple(plans),
+            try_limit=16, may_cancel=False, may_probe=False, second_copies=False, retry_after=True,
+            max_retry_after=10_000_000, has_counter=True, count_timeout=COUNT_WITHIN * 10,
+            meter_period=10_000, max_units=1, drain_grace=0, cold=0, cold_from=1.0, fall_multiple=0.0,
+            tip_after=0, answer_slack=0,
+            trust=TRUST, fresh_full=True, spare_share=RATIO_SHARE * b.retry_budget_ratio,
+            spare_most=max(1.0, SLACK_SHARE * b.budget_slack / fleet.all), spare_first=1.0, turned_price=1.0,
+            unsent_price=0.0,
+        )  # fmt: skip
+
+
+def frontend(route: Route) -> Frontend:
+    """A route as the module sees it; routes that differ only in name and place are one."""
+    effect = Effect.REPLAYABLE if route.idempotent else Effect.NON_REPLAYABLE
+    target, timeout = down(route.target_latency * 1000), down(route.timeout * 1000)
+    value = 2.0 ** (2 - min(8, route.priority))
+    return Frontend(effect, Group.ALL, 0, target, timeout, value, LATE * value, False, tries=route.attempts)
+
+
+def value_of(tenant: Tenant | None) -> float:
+    """How much more a tenant's requests count: its priority goes first, but tells little of worth."""
+    return 1.0 if tenant is None else 1.1 ** (2 - min(8, tenant.priority))
--- /dev/null
+++ b/tests/test_nursery.py
@@ -0,0 +1,131 @@
+"""The registry's and the proxy's pure parts: servers, limiters, counts, calls, frames."""
+
+from __future__ import annotations
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from loomstand.furrow.frames import Foreign, Reader, pack
+from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Bed, Beds, from_row
+from loomstand.nursery.hands import HELD, STANDS, Hands
+from loomstand.nursery.matchers import Asked, method, path, query
+from loomstand.nursery.tally import Tally
+from loomstand.stile.lists import Lists
+
+
+def bed(id_="i-1", sequence=1, state=READY, address="10.0.0.9:8080", service="a"):
+    return Bed(id_, address, service, "z", 2, state, sequence, 0.0)
+
+
+def test_a_late_beat_takes_no_drain_back_and_a_beat_alone_is_no_news():
+    beds = Beds(1.5)
+    assert beds.take(bed(sequence=1), 0.0)
+    assert not beds.take(bed(sequence=2), 1.5)
+    assert beds.take(bed(sequence=4, state=DRAINING), 3.0)
+    assert not beds.take(bed(sequence=3), 3.1)
+    assert [row[5] for row in beds.news(0, 3.1)] == [DRAINING]
+    assert beds.news(beds.version, 3.1) == []
+
+
+def test_a_server_that_left_stays_gone_and_a_new_one_at_its_address_ends_the_old():
+    beds = Beds(1.5)
+    beds.take(bed("i-1"), 0.0)
+    beds.take(bed("i-2", service="b"), 3.0)  # the address was assigned anew, and the old one never said so
+    states = {row[0]: row[5] for row in beds.news(0, 3.0)}
+    assert states == {"i-1": GONE, "i-2": READY}
+    assert not beds.take(bed("i-1", sequence=99), 3.1)
+
+
+def test_silence_is_told_and_ends_by_any_registrys_word():
+    beds, other = Beds(1.5), Beds(1.5)
+    beds.take(bed(sequence=1), 0.0)
+    other.take(bed(sequence=1), 0.0)
+    assert not beds.sweep(4.0)
+    assert beds.sweep(5.0) and beds.news(0, 5.0)[0][5] == SILENT
+    other.take(bed(sequence=3), 5.1)
+    assert not beds.alive("i-1", 3, 5.1)  # its row is needed
+    for row in other.rows(["i-1"], 5.2):
+        assert beds.take(from_row(row, 5.2), 5.2)
+    assert beds.news(0, 5.2)[0][5] == READY
+    # another registry's word that it is alive keeps it from falling silent here
+    assert beds.alive("i-1", 4, 9.0) and not beds.sweep(9.6)
+
+
+def test_a_limiter_is_a_member_while_its_session_stands_and_its_place_is_held_after():
+    hands = Hands()
+    hands.spoke("f-1", 0.0)
+    hands.told("f-2", 0.0, 0.0)
+    assert hands.present == ("f-1", "f-2")
+    hands.spoke("f-1", STANDS)
+    hands.sweep(STANDS + 0.1)
+    assert (hands.present, hands.missing) == (("f-1",), ("f-2",))
+    version = hands.version
+    hands.told("f-2", STANDS + 0.2, STANDS + 0.3)
+    assert hands.present == ("f-1", "f-2") and hands.version > version
+    hands.ended("f-1", STANDS + 0.4)  # told: nothing is held for it
+    assert (hands.present, hands.missing) == (("f-2",), ())
+    hands.sweep(STANDS + HELD + 1)
+    assert (hands.present, hands.missing) == ((), ())
+
+
+def test_counts_live_as_long_as_asked_for():
+    tally = Tally()
+    assert [tally.add(7, 2.0, 1.0, 0.0), tally.add(7, 3.0, 1.0, 0.5)] == [2.0, 5.0]
+    tally.sweep(1.2)
+    assert tally.add(7, 0.0, 1.0, 1.2) == 5.0
+    tally.sweep(3.0)
+    assert tally.sums == {} and tally.add(7, 1.0, 1.0, 3.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("what", "target", "found"),
+    [
+        (b"POST", b"/api/rpc?call=x&of=i-1", "x"),
+        (b"POST", b"/api/rpc?of=i-1&call=x&call=y", "x"),
+        (b"GET", b"/api/rpc?call=x", 405),
+        (b"POST", b"/api/rpc", 404),
+        (b"POST", b"/api", 404),
+    ],
+)
+def test_calls_from_outside_are_found_by_a_tree_of_matchers(what, target, found):
+    tree = path({"/api/rpc": method({"POST": query("call", {"x": "x"})})})
+    assert tree.match(Asked.of(what, target)) == found
+
+
+def test_the_use_of_a_server_is_what_the_registries_say_together():
+    lists = Lists()
+
+    def row(state, sequence, id_="i-1"):
+        return [id_, "10.0.0.9:8080", "a", "z", 2, state, sequence, 0]
+
+    assert lists.told("one", [row(READY, 5)], anew=True) == ["i-1"]
+    assert lists.told("two", [row(SILENT, 4)], anew=True) == []  # the one that hears it is right
+    assert lists.told("one", [row(SILENT, 5)]) == ["i-1"] and lists.servers["i-1"].use == SILENT
+    assert lists.told("two", [], anew=True) == []  # it started anew: the other still says silent
+    assert lists.told("one", [], anew=True) == ["i-1"] and lists.servers["i-1"].use == READY
+    assert lists.told("two", [row(DRAINING, 7)]) == ["i-1"]
+    assert lists.told("one", [row(READY, 6)]) == []  # a late word
+    assert lists.told("one", [row(GONE, 1 << 60)]) == ["i-1"]
+    assert lists.told("two", [row(READY, 9)]) == [] and lists.servers["i-1"].use == GONE
+    assert lists.told("two", [row(GONE, 1 << 60, "i-0")]) == []  # never known here
+
+
+@given(st.lists(st.integers(0, 1 << 40), max_size=4), st.lists(st.integers(1, 7), max_size=40))
+def test_frames_come_whole_however_the_bytes_are_cut(numbers, cuts):
+    raw = b"".join(pack([n, "op", {"n": n}]) for n in numbers)
+    reader, got, at = Reader(), [], 0
+    for cut in [*cuts, len(raw)]:
+        got += reader.feed(raw[at : at + cut])
+        at += cut
+    assert got == [[n, "op", {"n": n}] for n in numbers]
+
+
+@pytest.mark.parametrize(
+    "raw", [b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\0", pack({"no": "call"}), b"\0\0\0\x01\xff", pack([1, 2])]
+)
+def test_foreign_bytes_are_told_from_frames(raw):
+    with pytest.raises(Foreign):
+        list(Reader().feed(raw))
+    assert cbor2.loads(pack([1, "x", {}])[4:]) == [1, "x", {}]
