--- a/loomstand/stile/lanes.py
+++ b/loomstand/stile/lanes.py
@@ -13,6 +13,7 @@
 # A server's idle close and our next request may cross on the way; of a request that can't be repeated nothing
 # is left then. The stated time is in whole seconds, so it may be rounded.
 MARGIN = 1.0
+UNSTATED = 4.0  # seconds that a connection is kept where the server states nothing: those seen keep ten
 
 
 class Lane(Link):
@@ -22,7 +23,7 @@
 
     def __init__(self, pool: Pool, srv: int) -> None:
         super().__init__(pool, srv)
-        self.surplus = False
+        self.surplus, self.stays = False, UNSTATED
 
     def took(self) -> None:
         flight, machine = self.flight, self.machine
--- a/loomstand/stile/program.py
+++ b/loomstand/stile/program.py
@@ -32,7 +32,7 @@
 # Within a region a connection comes up in 3 ms and a server takes one more; where it doesn't in this time the
 # machine is gone or cut off, and the request has time for another server.
 CONNECT_WITHIN = 0.25
-IDLE_MOST = 4.0  # seconds that a connection to a server is kept idle; where servers state it, it is over 5
+IDLE_MOST = 60.0  # seconds that a connection to a server is kept idle, whatever it states
 FIXED_SOCKETS = 300  # 200 are reserved; sessions, files, the loop's own, and room for errors
 # After SIGTERM new connections come until the platform has missed two answers, a second apart.
 LINGER = 2.5
@@ -59,7 +59,7 @@
         self.conf, self.rng = settings, rng
         self.front = Front(self, self.spare, limits.file_descriptors)
         self.front.own_paths, self.front.stays, self.front.most_body = False, 16.0, 1 << 20
-        self.pool = Lanes(self, CONNECT_WITHIN, IDLE_MOST + CONNECT_WITHIN)
+        self.pool = Lanes(self, CONNECT_WITHIN, IDLE_MOST)
         self.patience = 10.0
         self.lists = Lists()
         self.terms = Terms(settings.bounds, list(settings.zones), settings.zone)
