Limiters: each registry's word counts under its own name, silence is known in 1.2 s

Change: sets by registry, put together; a session stands 1.2 s after its last call, asks wait 0.6 s.

--- a/loomstand/nursery/hands.py
+++ b/loomstand/nursery/hands.py
@@ -3,8 +3,11 @@
 
 from __future__ import annotations
 
-# A session stands for so long after its last call: calls end within a second, and one may be lost.
-STANDS = 2.0
+# A session stands for so long after its last call: calls end within 0.6 s, and the next comes at once. One that
+# is cut off goes on with its part, so for as long as nobody knows, all are that much over a quota together.
+STANDS = 1.2
+# What another registry tells of a limiter that never spoke here is up to a second older.
+TOLD = 2.4
 # A limiter that fell silent may be cut off and go on with its part: its place is held for so long. Cuts of
 # ten seconds are usual; one that was killed is back by then, or is told to be over.
 HELD = 12.0
@@ -22,15 +25,15 @@
 
     def spoke(self, name: str, now: float) -> None:
         """A limiter asked here."""
-        self.own[name] = now
-        self.told(name, now, now)
+        self.own[name] = self.seen[name] = now
+        self.sweep(now)
 
     def told(self, name: str, at: float, now: float) -> None:
-        """A limiter was seen at that reading of the clock, here or elsewhere."""
-        if at > self.seen.get(name, now - HELD):
+        """Another registry saw a limiter at that reading of the clock. Where it spoke here too, only that
+        counts: limiters put together what all registries say."""
+        if name not in self.own and at > self.seen.get(name, now - HELD):
             self.seen[name] = at
-            if name not in self.present:
-                self.sweep(now)
+            self.sweep(now)
 
     def ended(self, name: str, now: float) -> None:
         """A limiter ended its session: nothing of its is held."""
@@ -44,8 +47,8 @@
             if now - at > HELD:
                 del self.seen[name]
                 self.own.pop(name, None)
-        present = tuple(sorted(n for n, at in self.seen.items() if now - at <= STANDS))
-        missing = tuple(sorted(n for n, at in self.seen.items() if now - at > STANDS))
+        stands = {n for n, at in self.seen.items() if now - at <= (STANDS if n in self.own else TOLD)}
+        present, missing = tuple(sorted(stands)), tuple(sorted(self.seen.keys() - stands))
         if (present, missing) != (self.present, self.missing):
             self.present, self.missing = present, missing
             self.version += 1
--- a/loomstand/stile/sessions.py
+++ b/loomstand/stile/sessions.py
@@ -15,8 +15,9 @@
 from loomstand.orchard.settings import Settings
 from loomstand.orchard.verdict import Verdict
 
-ASK = 1.0  # seconds that a registry may take where there is no news: half of what a session stands
-ASK_WITHIN = 1.5
+ASK = 0.6  # seconds that a registry may take where there is no news: half of what a session stands
+ASK_WITHIN = 1.0
+HEARD = 2.0  # seconds for which a registry's last word on limiters counts
 FETCH_WITHIN = 0.8
 AGAIN = (0.1, 0.5)  # the first and the longest pause, in seconds, before a registry that fails is asked again
 # Seconds for which a registry that nobody lists and that doesn't answer is asked on: seeds may be exchanged.
@@ -46,7 +47,7 @@
         self.settings, self.network, self.clock, self.rng, self.user = settings, network, clock, rng, user
         self.version, self.data = 0, b""
         self.counter: Address | None = None
-        self.counter_facts = ""
+        self.sets: dict[str, tuple[frozenset[str], frozenset[str]]] = {}  # of limiters, by registry
         self.cores: dict[str, asyncio.Task[None]] = {}
         self.listed: dict[str, float] = {}  # when a core machine was last listed by a registry, or answered
         self.standing: dict[str, float] = {}  # when each registry last answered
@@ -106,7 +107,7 @@
                 self.user.servers(ip, body["rows"], anew)
             if body["facts"] != facts:
                 facts = body["facts"]
-                self.facts(body)
+                self.facts(ip, body)
             self.user.clock_told(body["clock"], round((now - asked) * 1e4), bool(body["sure"]))
             if body["config"] > self.version:
                 await self.fetch(address)
@@ -115,12 +116,15 @@
                     address, "offer", {"version": self.version, "data": self.data}, FETCH_WITHIN
                 )
 
-    def facts(self, body: Body) -> None:
-        for ip in body["cores"]:
-            self.add(ip)
+    def facts(self, ip: str, body: Body) -> None:
+        for core in body["cores"]:
+            self.add(core)
         if body["counter"]:
             self.counter = (body["counter"][0], body["counter"][1])
-        self.user.limiters(body["members"], body["missing"])
+        self.sets[ip] = frozenset(body["members"]), frozenset(body["missing"])
+        said = [v for k, v in self.sets.items() if self.clock() - self.standing.get(k, -HEARD) <= HEARD]
+        present = frozenset().union(*(v[0] for v in said))
+        self.user.limiters(sorted(present), sorted(frozenset().union(*(v[1] for v in said)) - present))
 
     async def fetch(self, address: Address) -> None:
         """Brings the newer configuration, once for all sessions."""
