--- a/loomstand/interface.py
+++ b/loomstand/interface.py
@@ -63,6 +63,7 @@
     value: float
     late_value: float
     stream: bool
+    tries: int = 0  # dispatches of a req at most; 0 for the settings' `try_limit`
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,7 +83,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """All that a limiter is told at its start."""
+    """All that a limiter is told at its start, and again whenever it changes (`Ruled`)."""
 
     me: int
     limiters: int
@@ -105,6 +106,15 @@
     fall_multiple: float
     tip_after: int
     answer_slack: int
+    trust: float = 10.0  # intervals for which a total lets one be judged by the whole burst; under 3: firmly
+    fresh_full: bool = False  # an unseen customer's part of the burst has room for one req only
+    spare_share: float = 0.25  # further dispatches that a first one earns, by service
+    spare_most: float = 10.0
+    spare_first: float = 3.0
+    turned_price: float = 0.2  # of a further dispatch where one was turned away, and none may have run
+    unsent_price: float = 0.2  # where nothing arrived at any server
+    window_follows: bool = False  # the window goes with the number of a service's servers
+    window_more: float = 0.0  # dispatches out beside the window: where it is a few, chance alone brings them
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,11 +128,12 @@
     pod: int
     hint: float
     booted: int
+    service: int = 0
 
 
 @dataclass(slots=True)
 class Listed:
-    """The list of servers, whole or changes only."""
+    """The list of servers of all services, whole or changes only."""
 
     entries: tuple[Entry, ...]
     whole: bool
@@ -142,6 +153,7 @@
     set_size: int
     retry: bool
     first: int = 0  # the limiter at which the customer's set begins
+    service: int = 0
 
 
 @dataclass(slots=True)
@@ -199,7 +211,15 @@
     took: int
 
 
-Note = Listed | Arrived | Started | Ended | Vanished | Woke | Counted | Probed
+@dataclass(slots=True)
+class Ruled:
+    """Other settings from now on, swapped whole. Frontends and plans keep their places and only grow in
+    number; a plan's figures may change, a frontend's may not."""
+
+    settings: Settings
+
+
+Note = Listed | Arrived | Started | Ended | Vanished | Woke | Counted | Probed | Ruled
 
 
 @dataclass(slots=True)
@@ -213,10 +233,11 @@
 
 @dataclass(slots=True)
 class Deny:
-    """Final answer: declined, trying again is harmless; `wait` 0 gives no advice."""
+    """Final answer: declined, trying again is harmless; `wait` 0 gives no advice, `why` is as counted."""
 
     req: int
     wait: int = 0
+    why: str = ""
 
 
 @dataclass(slots=True)
--- a/loomstand/stile/terms.py
+++ b/loomstand/stile/terms.py
@@ -20,6 +20,9 @@
 # Of the retry budget (ratio and slack a window, for each service and all limiters) each limiter takes this
 # share of the ratio for what it sends itself, and its even part of this share of the slack, at once.
 RATIO_SHARE, SLACK_SHARE = 0.6, 0.4
+# A limiter's window is its part of what its service's servers hold, some three; two more come by chance alone,
+# while the servers are idle.
+CHANCE = 2.0
 COUNT_WITHIN = 300  # ms for a call to the counter: its turn and back is under 5 where it is there
 NOBODY = "\0public"  # whose requests of public routes are
 
@@ -83,7 +86,7 @@
             tip_after=0, answer_slack=0,
             trust=TRUST, fresh_full=True, spare_share=RATIO_SHARE * b.retry_budget_ratio,
             spare_most=max(1.0, SLACK_SHARE * b.budget_slack / fleet.all), spare_first=1.0, turned_price=1.0,
-            unsent_price=0.0,
+            unsent_price=0.0, window_follows=True, window_more=CHANCE,
         )  # fmt: skip
 
 
