A start of all: requests wait for it, counts resume at once, a new limiter has half its burst

Cause: after the closing fault 213 of 364 requests of two seconds were refused: 503 before the configuration came, then 429 as a new limiter's part of the burst held one request until a total came, which waited for the next look at the lease.

--- a/loomstand/nursery/program.py
+++ b/loomstand/nursery/program.py
@@ -48,8 +48,8 @@
         self.sure = False  # whether it is known to be the newest: a primary was heard of
         self.timed = False  # whether that clock is known to be theirs
         self.lease_until, self.counter = 0.0, ""  # until when this one counts; who does, as far as is known
-        self.cores: tuple[str, ...] = tuple({settings.ip_address, *(ip for ip, _ in settings.seeds)})
-        self.waiting: set[asyncio.Future[None]] = set()
+        self.cores: tuple[str, ...] = tuple(sorted({settings.ip_address, *(ip for ip, _ in settings.seeds)}))
+        self.waiting: dict[asyncio.Future[None], None] = {}  # the longest first
         self.tasks: set[asyncio.Task[Any]] = set()
         self.stopping = False
         self.calls = path(
@@ -90,7 +90,7 @@
 
     def wake(self) -> None:
         """Something limiters hear of has changed."""
-        waiting, self.waiting = self.waiting, set()
+        waiting, self.waiting = self.waiting, {}
         for waits in waiting:
             if not waits.done():
                 waits.set_result(None)
@@ -104,13 +104,13 @@
         until = self.clock() + within
         while not there() and (left := until - self.clock()) > 0 and not self.stopping:
             waits: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self.waiting.add(waits)
+            self.waiting[waits] = None
             try:
                 await asyncio.wait_for(waits, left)
             except TimeoutError:
                 return
             finally:
-                self.waiting.discard(waits)
+                self.waiting.pop(waits, None)
 
     # the system's own calls
 
@@ -260,20 +260,24 @@
             got = await self.network.call(here, "wait", {"have": self.version, "within": 1.0}, 1.5)
             if got.is_ok():
                 self.heard_store(got.ok)
+                if self.counter == self.settings.ip_address and self.clock() >= self.lease_until:
+                    await self.look()  # the lease has just come: limiters wait for their totals
             else:
                 await asyncio.sleep(0.1)
 
     async def lease(self) -> None:
         """Looks at the store's lease: who holds it counts. The time left counts from the asking."""
-        here = self.settings.granary(self.settings.ip_address)
         while not self.stopping:
-            asked = self.clock()
-            got = await self.network.call(here, "status", {}, STATUS)
-            self.lease_until = asked + float(got.ok.get("lease_left", 0.0)) if got.is_ok() else 0.0
-            if got.is_ok():
-                self.heard_store(got.ok)
+            await self.look()
             await asyncio.sleep(STATUS)
 
+    async def look(self) -> None:
+        asked = self.clock()
+        got = await self.network.call(self.settings.granary(self.settings.ip_address), "status", {}, STATUS)
+        self.lease_until = asked + float(got.ok.get("lease_left", 0.0)) if got.is_ok() else 0.0
+        if got.is_ok():
+            self.heard_store(got.ok)
+
     def heard_store(self, said: Body) -> None:
         """What the store says of itself."""
         if int(said["version"]) > self.version and "data" in said:
--- /dev/null
+++ b/loomstand/nursery/whole.py
@@ -0,0 +1,34 @@
+"""The registry with its interface to the outside."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loomstand.furrow.network import Network
+from loomstand.furrow.outside import Outside
+from loomstand.net.driver import Streams, Turns
+from loomstand.nursery.program import Nursery
+from loomstand.orchard.settings import Settings
+
+MOST_BODY = 16 << 20  # of a call: a configuration of thousands of routes
+
+
+class Whole(Nursery):
+    """A registry that takes the calls from outside."""
+
+    def __init__(
+        self, settings: Settings, network: Network, turns: Turns | None,
+        clock: Callable[[], float] | None = None, wall: float | None = None, streams: Streams | None = None,
+    ) -> None:  # fmt: skip
+        """`clock` and `wall` as the registry's; `streams` where calls don't come by real sockets."""
+        super().__init__(settings, network, clock or asyncio.get_running_loop().time, wall)
+        sockets = settings.limits.file_descriptors - 400  # 200 are reserved; the rest is for the system's own
+        memory = settings.limits.memory_mb << 18
+        self.desk = Outside(self.outside, turns, memory, sockets, MOST_BODY, streams)
+
+    async def run(self) -> None:
+        assert self.settings.listen.control_plane is not None
+        await self.desk.listen(self.settings.listen.control_plane)
+        await super().run()
+        self.desk.stop()
--- a/loomstand/stile/program.py
+++ b/loomstand/stile/program.py
@@ -14,7 +14,7 @@
 from loomstand.interface import Outcome
 from loomstand.net import http
 from loomstand.net.clients import Client, Front
-from loomstand.net.driver import Turns
+from loomstand.net.driver import Streams, Turns
 from loomstand.net.req import Flight, Req
 from loomstand.net.trunk import Trunk
 from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Row
@@ -38,6 +38,10 @@
 LINGER = 2.5
 FEW = 0.15  # seconds after which a client that found the servers full may ask again: a third of a usual aim
 NOT_YET = 0.3  # and one that came before there was a configuration
+# A request that meets a starting limiter waits so many seconds at most, and half of its client's time: when
+# all start at once the configuration comes within 0.6 s, and servers' heartbeats 1.5 s apart.
+HOLD = 0.8
+SETTLED = 4.0  # seconds after its start by when a limiter knows all servers that there are
 QUOTA = {"full count", "old total", "ceiling"}
 PHASES = {READY: i.Phase.LIVE, DRAINING: i.Phase.DRAINING, SILENT: i.Phase.DRAINING, GONE: i.Phase.GONE}
 # A limiter that started while no registry knew of a primary serves with what it has after so many seconds.
@@ -53,13 +57,19 @@
 class Stile(Trunk):
     """One proxy."""
 
-    def __init__(self, settings: Settings, network: Network, rng: Random, turns: Turns | None = None) -> None:
+    def __init__(
+        self, settings: Settings, network: Network, rng: Random, turns: Turns | None = None,
+        streams: Streams | None = None,
+    ) -> None:  # fmt: skip
+        """`streams` where connections are not by real sockets."""
         limits = settings.limits
         super().__init__(logging.info, turns, limits.memory_mb // 2, limits.file_descriptors - FIXED_SOCKETS)
         self.conf, self.rng = settings, rng
         self.front = Front(self, self.spare, limits.file_descriptors)
         self.front.own_paths, self.front.stays, self.front.most_body = False, 16.0, 1 << 20
         self.pool = Lanes(self, CONNECT_WITHIN, IDLE_MOST)
+        if streams is not None:
+            self.front.bind, self.pool.connect = streams.listen, streams.connect
         self.patience = 10.0
         self.lists = Lists()
         self.terms = Terms(settings.bounds, list(settings.zones), settings.zone)
@@ -70,8 +80,9 @@
         self.table: Table | None = None
         self.sure_at: float | None = None
         self.sessions = Sessions(settings, network, self.loop.time, rng, self)
-        self.readiness = Outside(self.ready, turns, 4 << 20, 64, 4096)
-        self.served = False
+        self.readiness = Outside(self.ready, turns, 4 << 20, 64, 4096, streams)
+        self.served, self.begun = False, self.loop.time()
+        self.held: dict[Asked, float] = {}  # those that wait for the start to be over, and when they came
         self.brain = self.begin()
         self.counting_tasks: set[asyncio.Task[None]] = set()
 
@@ -131,6 +142,7 @@
         if entries:
             self.note(i.Listed(tuple(entries), False))
             self.look()
+            self.settle()
 
     def entry(self, srv: int, use: str, service: str, zone: str, where: str) -> i.Entry:
         phase = PHASES[use]
@@ -167,6 +179,7 @@
         self.front.stays = configuration.limits.idle_timeout + 1
         self.note(i.Ruled(self.terms.settings(self.fleet)))
         self.look()
+        self.settle()
         return True
 
     def clock_told(self, clock: int, took: int, sure: bool) -> None:
@@ -193,26 +206,58 @@
     def take(self, client: Client, machine: http.RequestReceiver, at: float) -> None:
         """A request has come: if nothing is wrong with it, it is owed one answer from here on."""
         req = Asked(machine)
+        req.client, client.req = client, req
+        if self.table is None or not self.staffed(req):
+            self.hold(req, at)
+        else:
+            self.admit(req, at)
+
+    def staffed(self, req: Asked) -> bool:
+        """Whether somebody is known who could serve it; later on, whoever isn't known isn't there."""
+        route = self.table.find(req.host, req.path)
+        if route is None or self.loop.time() - self.begun > SETTLED:
+            return True
+        return any(weight > 0 and self.by_service.get(service) for service, weight in route.split)
+
+    def hold(self, req: Asked, at: float) -> None:
+        """At a start the configuration and the first heartbeats are under way: a request waits for them, as
+        all limiters would refuse it alike."""
+        self.held[req] = at
+        most = HOLD if req.wait is None else min(HOLD, req.wait / 2000)
+        self.loop.call_later(most, self.release, req)
+
+    def release(self, req: Asked) -> None:
+        at = self.held.pop(req, None)
+        if at is not None and req.client is not None:
+            self.admit(req, at)
+
+    def settle(self) -> None:
+        """Something came that held requests wait for."""
+        for req in [r for r in self.held if r.client is None or (self.table is not None and self.staffed(r))]:
+            self.release(req)
+
+    def admit(self, req: Asked, at: float) -> None:
+        """Nothing is wrong with it, or it is answered at once."""
         table = self.table
         if table is None:
-            client.answer(503, extra=f"Retry-After: {NOT_YET}\r\n")
+            self.answer(req, 503, extra=f"Retry-After: {NOT_YET}\r\n")
             return
         req.route = table.find(req.host, req.path)
         if req.route is None:
-            client.answer(404)
+            self.answer(req, 404)
             return
         if table.needs_key(req.route):
             req.tenant = table.tenant(req.key)
             if req.tenant is None:
-                client.answer(401)
+                self.answer(req, 401)
                 return
         if not self.room.take(len(req.body)):
-            client.answer(503, extra=f"Retry-After: {FEW}\r\n")
+            self.answer(req, 503, extra=f"Retry-After: {FEW}\r\n")
             return
         self.served = True
         service = self.service(table, req)
         plan = self.terms.tenants.at(req.tenant.name) if req.tenant else 0
-        self.owed(req, client, req.timeout(), at)
+        self.owed(req, req.client, req.timeout(), at)
         front, digest = self.terms.by_route[req.route.name], self.terms.digests[plan]
         at_service = self.terms.services.at(service)
         self.note(
--- a/loomstand/stile/terms.py
+++ b/loomstand/stile/terms.py
@@ -20,7 +20,10 @@
 # Of the retry budget (ratio and slack a window, for each service and all limiters) each limiter takes this
 # share of the ratio for what it sends itself, and its even part of this share of the slack, at once.
 RATIO_SHARE, SLACK_SHARE = 0.6, 0.4
-# A limiter's window is its part of what its service's servers hold, some three; two more come by chance alone,
+# A limiter that starts may have spent its part of the burst just before: it has half of it, so that six in ten
+# limiters that are killed at once and come back stay within the overshoot, and all of them serve what waits.
+FRESH = 0.5
+# A limiter's window is its part of what its service's servers hold, some three; two more come by chance
 # while the servers are idle.
 CHANCE = 2.0
 COUNT_WITHIN = 300  # ms for a call to the counter: its turn and back is under 5 where it is there
@@ -84,7 +87,7 @@
             max_retry_after=10_000_000, has_counter=True, count_timeout=COUNT_WITHIN * 10,
             meter_period=10_000, max_units=1, drain_grace=0, cold=0, cold_from=1.0, fall_multiple=0.0,
             tip_after=0, answer_slack=0,
-            trust=TRUST, fresh_full=True, spare_share=RATIO_SHARE * b.retry_budget_ratio,
+            trust=TRUST, fresh=FRESH, spare_share=RATIO_SHARE * b.retry_budget_ratio,
             spare_most=max(1.0, SLACK_SHARE * b.budget_slack / fleet.all), spare_first=1.0, turned_price=1.0,
             unsent_price=0.0, window_follows=True, window_more=CHANCE,
         )  # fmt: skip
