--- a/loomstand/stile/program.py
+++ b/loomstand/stile/program.py
@@ -98,6 +98,7 @@
         assert self.conf.listen.frontend is not None and self.conf.listen.readiness is not None
         await self.readiness.listen(self.conf.listen.readiness)
         await self.front.listen(self.conf.listen.frontend)
+        logging.info("listens")
         self.sessions.start()
         self.loop.call_later(1.0, self.sweep)
         await self.stopped.wait()
