--- a/loomstand/furrow/outside.py
+++ b/loomstand/furrow/outside.py
@@ -11,7 +11,7 @@
 
 from loomstand.net import http
 from loomstand.net.clients import Client, Front
-from loomstand.net.driver import Turns, Untimed
+from loomstand.net.driver import Streams, Turns, Untimed
 from loomstand.net.ring import Room
 
 Handler = Callable[[bytes, bytes, bytes], Awaitable[tuple[int, bytes]]]  # method, target, body: status, body
@@ -20,8 +20,11 @@
 class Outside:
     """Answers each call with what the handler gives; bodies of answers are JSON."""
 
-    def __init__(self, handler: Handler, turns: Turns | None, memory: int, sockets: int, body: int) -> None:
-        """`memory` and `body` in bytes: for all buffers, and for one call."""
+    def __init__(
+        self, handler: Handler, turns: Turns | None, memory: int, sockets: int, body: int,
+        streams: Streams | None = None,
+    ) -> None:  # fmt: skip
+        """`memory` and `body` in bytes: for all buffers, and for one call. `streams` where not by sockets."""
         self.handler = handler
         self.loop = asyncio.get_running_loop()
         self.turns: Any = turns or Untimed()
@@ -29,6 +32,8 @@
         self.most_answer, self.able = body, True
         self.sockets = sockets
         self.front = Front(self, max(8, sockets // 10), sockets)
+        if streams is not None:
+            self.front.bind = streams.listen
         self.front.stays, self.front.most_body, self.front.own_paths = 20.0, body, False
         self.tasks: set[asyncio.Task[None]] = set()
 
--- /dev/null
+++ b/loomstand/granary/program.py
@@ -0,0 +1,402 @@
+"""A granary: the tenure driven by calls and a clock, and the configuration served to nurseries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from absl import logging
+from expression import Result
+
+from loomstand.furrow import Address, Network
+from loomstand.granary.campaign import Release, campaign
+from loomstand.granary.desk import CALL, Body, Desk
+from loomstand.granary.shelf import Disk
+from loomstand.granary.tenure import ABSENT, BEAT, Plan, State, Step, Tenure
+from loomstand.granary.views import Member, Record, View
+from loomstand.orchard.verdict import Refused, Verdict
+
+ANSWER = 0.85  # s in which a change is acknowledged or refused
+TICK = 0.1  # s between two looks at what is due
+HOPS = 2  # how often a change or a question is handed on
+FRESH = 0.4  # s for which the serving primary holds back an answer to `wait`: a third of the lease
+PARTING = 3.0  # s that a leaving granary gives others to take its places: half of the grace period
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a granary stands: its own address, the granaries' addresses at the seeds, whether all is new."""
+
+    address: Address
+    seeds: tuple[Address, ...]
+    first_start: bool
+
+
+class Granary:
+    """Serves other granaries and nurseries by `network.listen` at its address (see `serve`)."""
+
+    def __init__(
+        self, place: Place, network: Network, disk: Disk, clock: Callable[[], float], rng: Random
+    ) -> None:
+        self.place, self.network, self.disk, self.clock, self.rng = place, network, disk, clock, rng
+        self._desk: Desk | None = None
+        self.busy = asyncio.Lock()  # over what a primary or candidate does: a put, a settling, a campaign
+        self.changed = asyncio.Event()
+        self.shown: tuple[Any, ...] = ()
+        self.beating: set[Address] = set()
+        self.pulling = False
+        self.stopped = asyncio.Event()
+
+    @property
+    def desk(self) -> Desk:
+        if self._desk is None:
+            raise Refused("not begun")
+        return self._desk
+
+    @property
+    def tenure(self) -> Tenure:
+        return self.desk.tenure
+
+    # --- life
+
+    async def run(self) -> None:
+        """Serves until `stop` is done."""
+        started = self.clock()
+        record = Record.read(await self.disk.load())
+        while record is None:
+            new = Record(f"{self.rng.getrandbits(64):016x}", self.place.first_start)
+            try:
+                await self.disk.save(new.pages())
+                record = new
+            except OSError as error:
+                logging.warning("granary: the disk refuses its first write: %s", error)
+                await asyncio.sleep(1.0)
+        me = Member(record.id, self.place.address)
+        tenure = Tenure(me, self.place.seeds, record, started, self.rng)
+        self._desk = Desk(tenure, self.network, self.disk, self.clock)
+        logging.info("granary: member %s at %s, %s", me.id, me.address[0], record.view or "no view yet")
+        await self.network.listen(self.place.address, self.serve)
+        beat = -1e9
+        while not self.stopped.is_set():
+            now = self.clock()
+            if now - beat >= BEAT - TICK / 2:
+                beat = now
+                self._beats()
+            self._tick(now)
+            await asyncio.sleep(TICK)
+        for task in list(self.desk.tasks):
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Leaves: others take its places first, if there are any."""
+        if self._desk is not None:
+            logging.info("granary: leaves")
+            self.tenure.state = State.LEAVING
+            self._beats()
+            until = self.clock() + PARTING
+            while self.clock() < until and not self.tenure.free(self.clock()):
+                await asyncio.sleep(TICK)
+        self.stopped.set()
+
+    def _tick(self, now: float) -> None:
+        self.desk.examine(now)
+        self.tenure.seed(now, self.place.seeds)
+        self.tenure.forget(now)
+        self._crown()
+        if not self.busy.locked() and self.tenure.due(now) is not None:
+            self.desk.spawn(self._act())
+        self._bump()
+
+    def _crown(self) -> None:
+        if self.tenure.crown(self.clock()):
+            logging.info("granary: serves version %d, %s", self.tenure.version, self.tenure.record.view)
+            self._tell()
+
+    # --- beats and news
+
+    def _beats(self) -> None:
+        for address in list(self.tenure.peers):
+            if address not in self.beating:
+                self.beating.add(address)
+                self.desk.spawn(self._beat(address))
+
+    async def _beat(self, address: Address) -> None:
+        tenure, sent = self.tenure, self.clock()
+        try:
+            result = await self.network.call(address, "beat", tenure.beat(sent, address), 3 * BEAT)
+        finally:
+            self.beating.discard(address)
+        match result:
+            case Result(tag="ok", ok=answer):
+                peer = tenure.on_answer(self.clock(), sent, answer)
+                self._crown()
+                self._bump()
+                view, member = tenure.record.view, Member.read(answer["member"])
+                if view and tenure.owns() and peer.epoch < view.epoch and member.id in view.named():
+                    await self.desk.install(member, view)
+                if peer.version > (tenure.version if tenure.informed else -1):
+                    await self._pull(address)
+
+    async def _pull(self, address: Address) -> None:
+        if self.pulling:
+            return
+        self.pulling = True
+        try:
+            match await self.network.call(address, "held", {}, CALL):
+                case Result(tag="ok", ok=answer):
+                    self._learn(answer)
+        finally:
+            self.pulling = False
+
+    def _learn(self, news: Body) -> None:
+        if self.tenure.commit(news["version"], news["data"]):
+            self._bump()
+
+    def _tell(self) -> None:
+        """Tells all others at once what is in force."""
+        self._bump()
+        now, tenure = self.clock(), self.tenure
+        body = {"version": tenure.version, "data": tenure.data}
+        for address, peer in tenure.peers.items():
+            if now - peer.answered < ABSENT:
+                self.desk.spawn(self.network.call(address, "news", body, CALL))
+
+    # --- what is due
+
+    async def _act(self) -> None:
+        if not self.busy.locked():
+            async with self.busy:
+                await self._due()
+
+    async def _due(self) -> None:
+        """Does the one thing that is due; under `busy`."""
+        plan, done = self.tenure.due(self.clock()), False
+        if plan is None:
+            return
+        try:
+            if plan.step is Step.SETTLE:
+                done = await self._settle()
+            elif plan.step is Step.YIELD:
+                done = await self._yield()
+            else:
+                done = await self._campaign(plan)
+        finally:
+            if not done:
+                self.tenure.postpone(self.clock())
+
+    async def _campaign(self, plan: Plan, release: Release | None = None) -> bool:
+        done = await campaign(self.desk, plan, release)
+        if done and self.tenure.writes(self.clock()):  # it reigned before: its new backup has what it holds
+            self._commit()
+        self._crown()
+        self._bump()
+        return done
+
+    def _commit(self) -> None:
+        held = self.tenure.record
+        if self.tenure.commit(held.version, held.data):
+            self._tell()
+
+    async def _settle(self) -> bool:
+        """What the primary holds goes to its backup once more, and is then in force."""
+        tenure, held, view = self.tenure, self.tenure.record, self.tenure.record.view
+        if view is None or not tenure.leads(self.clock()):
+            return False
+        failed = view.backup and await self.desk.keep(view.backup, view.epoch, held.version, held.data)
+        if failed is Verdict.REFUSED:  # it has something later of this epoch, or can't write
+            plan = Plan(Step.MOVE, "its backup doesn't follow", view.voters, view.former)
+            return await self._campaign(plan)
+        if failed or not tenure.leads(self.clock()) or tenure.record is not held:
+            return False
+        tenure.settled = view.epoch
+        if tenure.reign:
+            self._commit()
+        self._crown()
+        return True
+
+    async def _yield(self) -> bool:
+        tenure, view = self.tenure, self.tenure.record.view
+        if view is None or view.backup is None:
+            return False
+        backup, epoch = view.backup, tenure.promised + 1
+        # the promise ends its serving for good, a restart included: so nobody need wait for grants to end
+        tenure.reign = False
+        await self.desk.ink(lambda now: tenure.promise(now, epoch, backup.id, view.epoch))
+        logging.info("granary: hands over to %s", backup.address[0])
+        body = {"by": tenure.me.id, "epoch": epoch, "under": view.epoch}
+        return not isinstance(await self.desk.ask(backup, "lead", body), Verdict)
+
+    async def _lead(self, release: Release) -> None:
+        async with self.busy:
+            base = self.tenure.base()
+            if base is not None and base.epoch == release.under and base.primary.id == release.by:
+                plan = Plan(Step.TAKE, "its primary leaves", base.voters, base.former)
+                await self._campaign(plan, release)
+
+    # --- calls
+
+    async def serve(self, op: str, body: Body) -> Body:
+        """The answer to a call; Refused if it did nothing.
+
+        Of granaries: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
+        {version, data} -> {version: the one in force}; read {} -> {version, data}; status {} and wait
+        {have: version, within: seconds} -> {version, lease_left: seconds, epoch, primary: [host, port] or
+        None, cores: [[host, port]], ready} and, from wait, data if there is a newer version than `have`.
+        """
+        tenure = self.tenure
+        if "to" in body:
+            tenure.mine(body["to"])
+        match op:
+            case "beat":
+                return tenure.on_beat(self.clock(), body)
+            case "promise":
+                return await self._promise(body)
+            case "keep":
+                epoch, asker, version, data = body["epoch"], body["asker"], body["version"], body["data"]
+                await self.desk.ink(lambda now: tenure.keep(epoch, asker, version, data))
+                return {}
+            case "fetch":
+                held = await self.desk.ink(lambda now: tenure.fetch(body["epoch"], body["asker"]))
+                return {"version": held.version, "data": held.data}
+            case "install":
+                view = View.read(body["view"])
+                if view is not None:
+                    await self.desk.ink(lambda now: tenure.install(view))
+                    tenure.renew(self.clock(), view)
+                return {}
+            case "lead":
+                self.desk.spawn(self._lead(Release(body["by"], body["epoch"], body["under"])))
+                return {}
+            case "news":
+                self._learn(body)
+                return {}
+            case "held":
+                if not tenure.informed:
+                    raise Refused("nothing known to be in force")
+                return {"version": tenure.version, "data": tenure.data}
+            case "put" | "offer":
+                return await self._put(op, body)
+            case "read":
+                return await self._read(body)
+            case "status":
+                return self.status()
+            case "wait":
+                return await self._wait(body["have"], body["within"])
+        raise Refused(f"no such call: {op}")
+
+    async def _promise(self, body: Body) -> Body:
+        tenure, epoch, asker, released = self.tenure, body["epoch"], body["asker"], body["released"]
+        if epoch == 0:  # only whether it would
+            would = tenure.state is not State.SICK
+            would = would and tenure.may_promise(self.clock(), tenure.promised + 1, asker, released)
+        else:
+            try:
+                await self.desk.ink(lambda now: tenure.promise(now, epoch, asker, released))
+                would = True
+            except Refused:
+                would = False
+        view = tenure.base()
+        return {"ok": would, "promised": tenure.promised, "view": view.body() if view else None}
+
+    async def _put(self, op: str, body: Body) -> Body:
+        tenure, version, data = self.tenure, int(body["version"]), bytes(body["data"])
+        try:
+            async with asyncio.timeout(ANSWER):
+                if not tenure.leads(self.clock()):
+                    return await self._hand_on(op, body, ANSWER - 0.05)
+                async with self.busy:
+                    return {"version": await self._take(version, data)}
+        except TimeoutError:
+            raise Refused("not in time") from None
+
+    async def _take(self, version: int, data: bytes) -> int:
+        """Puts a version in force, if it's higher; the one in force. As the primary, under `busy`."""
+        tenure = self.tenure
+        if tenure.leads(self.clock()) and (not tenure.reign or tenure.record.version > tenure.version):
+            await self._settle()
+        if not tenure.writes(self.clock()):
+            raise Refused("not the primary")
+        if version > tenure.version:
+            view = tenure.record.view
+            assert view is not None
+            backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
+            own = self.desk.ink(lambda now: tenure.own(view.epoch, version, data))
+            wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
+            if isinstance(wrote, BaseException):
+                raise Refused("its disk")
+            if any(kept):
+                # what it wrote may be in force: another backup may settle it while the asker still waits
+                plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
+                if not await self._campaign(plan):
+                    tenure.postpone(self.clock())
+                    raise Refused("no backup")
+            if not tenure.writes(self.clock()) or tenure.record.version != version:
+                raise Refused("the lease is over")
+            self._commit()
+        return tenure.version
+
+    async def _read(self, body: Body) -> Body:
+        tenure = self.tenure
+        if tenure.lease_left(self.clock()) > 0.0:
+            return {"version": tenure.version, "data": tenure.data}
+        return await self._hand_on("read", body, CALL)
+
+    async def _hand_on(self, op: str, body: Body, within: float) -> Body:
+        hops, primary = int(body.get("hops", 0)), self._seat()[1]
+        if hops >= HOPS or primary is None or primary == self.place.address:
+            raise Refused("no primary")
+        match await self.network.call(primary, op, body | {"hops": hops + 1}, within):
+            case Result(tag="ok", ok=answer):
+                return answer
+        raise Refused("the primary didn't answer")
+
+    # --- what nurseries ask
+
+    def _seat(self) -> tuple[int, Address | None]:
+        """The newest epoch known, and its primary's address if that is there."""
+        tenure, now = self.tenure, self.clock()
+        view = tenure.base()
+        if view is None:
+            return 0, None
+        own = view.primary.id == tenure.me.id
+        there = tenure.lease_left(now) > 0.0 if own else tenure.silence(now, view.primary) < ABSENT
+        return view.epoch, view.primary.address if there else None
+
+    def status(self) -> Body:
+        tenure, now = self.tenure, self.clock()
+        epoch, primary = self._seat()
+        return {
+            "version": tenure.version,
+            "lease_left": tenure.lease_left(now),
+            "epoch": epoch,
+            "primary": [*primary] if primary else None,
+            "cores": [[*a] for a in tenure.cores(now)],
+            "ready": tenure.informed,
+        }
+
+    def _bump(self) -> None:
+        """Wakes those who wait, if what they'd be told has changed."""
+        tenure, now = self.tenure, self.clock()
+        serves = tenure.lease_left(now) > 0.0
+        shown = (tenure.version, tenure.informed, serves, *self._seat(), tenure.cores(now))
+        if shown != self.shown:
+            self.shown = shown
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+    async def _wait(self, have: int, within: float) -> Body:
+        if self.tenure.version <= have:
+            if self.tenure.lease_left(self.clock()) > 0.0:
+                within = min(within, FRESH)
+            try:
+                async with asyncio.timeout(within):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        answer = self.status()
+        if self.tenure.version > have:
+            answer["data"] = self.tenure.data
+        return answer
--- /dev/null
+++ b/loomstand/granary/shelf.py
@@ -0,0 +1,78 @@
+"""The disk of a granary: named pages, written together or not at all, and synced before a write is over."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Protocol
+from zlib import crc32
+
+import lmdb
+from absl import logging
+
+SIZE = 32 * 2**20  # bytes mapped: far above a configuration's few hundred kilobytes, under the disk's share
+_CRC = 4  # bytes before each page
+
+
+class Disk(Protocol):
+    async def load(self) -> dict[str, bytes]:
+        """All pages; none if the disk is empty or what is on it can't be read."""
+        ...
+
+    async def save(self, pages: dict[str, bytes]) -> None:
+        """Writes the pages and syncs them. OSError: whether they're there is open."""
+        ...
+
+
+class Shelf:
+    """A Disk in `folder`, over lmdb. One thread does all its work, so that writes keep their order."""
+
+    def __init__(self, folder: str | Path) -> None:
+        self.folder = Path(folder)
+        self.env: lmdb.Environment | None = None
+        self.thread = ThreadPoolExecutor(1, "shelf")
+
+    async def load(self) -> dict[str, bytes]:
+        return await asyncio.get_running_loop().run_in_executor(self.thread, self._load)
+
+    async def save(self, pages: dict[str, bytes]) -> None:
+        await asyncio.get_running_loop().run_in_executor(self.thread, self._save, pages)
+
+    def close(self) -> None:
+        """Waits for the writes under way."""
+        self.thread.shutdown()
+        if self.env is not None:
+            self.env.close()
+            self.env = None
+
+    def _open(self) -> lmdb.Environment:
+        if self.env is None:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            # the system's disks grant locks that do nothing, and this is the only process that opens it
+            self.env = lmdb.open(str(self.folder), map_size=SIZE, lock=False, max_readers=4)
+        return self.env
+
+    def _load(self) -> dict[str, bytes]:
+        try:
+            with self._open().begin() as read:
+                pages = {bytes(k).decode(): bytes(v) for k, v in read.cursor()}
+            if any(int.from_bytes(p[:_CRC]) != crc32(p[_CRC:]) for p in pages.values()):
+                raise ValueError("a page's sum is wrong")
+        except (lmdb.Error, ValueError, OSError) as error:
+            logging.error("granary: its disk can't be read, it starts as another member: %s", error)
+            if self.env is not None:
+                self.env.close()
+                self.env = None
+            shutil.rmtree(self.folder, ignore_errors=True)
+            return {}
+        return {k: v[_CRC:] for k, v in pages.items()}
+
+    def _save(self, pages: dict[str, bytes]) -> None:
+        try:
+            with self._open().begin(write=True) as write:
+                for name, page in pages.items():
+                    write.put(name.encode(), crc32(page).to_bytes(_CRC) + page)
+        except lmdb.Error as error:
+            raise OSError(str(error)) from error
--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-import socket
-
-from loomstand.net import http
-from loomstand.net.driver import Wire, family
+from loomstand.net import driver, http
+from loomstand.net.driver import Listens, Wire
 from loomstand.net.endings import Ending
 from loomstand.net.roles import Asked, Takes
 
@@ -132,6 +129,8 @@
 class Front:
     """Listens for clients and bounds their connections."""
 
+    bind = staticmethod(driver.listen)  # or another way, as `driver.Streams` has it
+
     def __init__(self, limiter: Takes, at_once: int, sockets: int) -> None:
         self.limiter, self.at_once, self.sockets = limiter, at_once, sockets
         # PROTOCOL: for reqs clients hold a third of the descriptors at most, which those that ask once and
@@ -139,16 +138,12 @@
         self.most_held = sockets // 6
         self.stays, self.most_body, self.own_paths = STAYS, http.MOST_BODY, True
         self.clients: dict[Client, None] = {}
-        self.server: asyncio.Server | None = None
+        self.server: Listens | None = None
         self.stopping = False
 
     async def listen(self, address: tuple[str, int]) -> None:
-        sock = socket.create_server(address, family=family(address))
-        # the loop takes in as many in one turn as its backlog says; the system may hold more
-        self.server = await self.limiter.loop.create_server(
-            lambda: Client(self).wire, sock=sock, backlog=self.at_once
-        )
-        sock.listen(self.sockets)
+        loop = self.limiter.loop
+        self.server = await self.bind(loop, lambda: Client(self).wire, address, self.at_once, self.sockets)
 
     def let_in(self, client: Client) -> None:
         self.clients[client] = None
--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from loomstand.net.endings import Ending
 from loomstand.net.ring import Ring, Room
@@ -133,6 +134,8 @@
     @property
     def unread(self) -> bool:
         """Whether bytes, or an end, wait in the system."""
+        if (asked := self.transport.get_extra_info("unread")) is not None:  # there is no socket beneath it
+            return asked()
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
@@ -182,6 +185,42 @@
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
+Address = tuple[str, int]
+
+
+class Streams(Protocol):
+    """How connections come to be, where a program isn't to use real sockets."""
+
+    def connect(
+        self, loop: asyncio.AbstractEventLoop, wire: Wire, address: Address, within: float
+    ) -> None:
+        """As `connect` below."""
+        ...
+
+    async def listen(
+        self, loop: asyncio.AbstractEventLoop, make: Callable[[], Wire], address: Address, at_once: int,
+        most: int,
+    ) -> Listens:  # fmt: skip
+        """As `listen` below."""
+        ...
+
+
+class Listens(Protocol):
+    """What listens: an `asyncio.Server`, say."""
+
+    def close(self) -> None: ...
+
+
+async def listen(
+    loop: asyncio.AbstractEventLoop, make: Callable[[], Wire], address: Address, at_once: int, most: int
+) -> Listens:
+    """Takes in connections, `at_once` of them in one turn of the loop; the system may hold `most`."""
+    sock = socket.create_server(address, family=family(address))
+    server = await loop.create_server(make, sock=sock, backlog=at_once)  # that is what a turn takes in
+    sock.listen(most)
+    return server
+
+
 def connect(loop: asyncio.AbstractEventLoop, wire: Wire, address: tuple[str, int], within: float) -> None:
     """Opens a connection for `wire`, whose user gets `opened`, or `ended` if it does not come up within that
     many seconds."""
--- a/loomstand/net/servers.py
+++ b/loomstand/net/servers.py
@@ -5,8 +5,8 @@
 from math import inf
 
 from loomstand.interface import Outcome
-from loomstand.net import http
-from loomstand.net.driver import Wire, connect
+from loomstand.net import driver, http
+from loomstand.net.driver import Wire
 from loomstand.net.endings import Ending, answered, outcome
 from loomstand.net.req import Flight
 from loomstand.net.roles import Sends
@@ -77,6 +77,7 @@
     """Connections to all servers."""
 
     link: type[Link] = Link
+    connect = staticmethod(driver.connect)  # or another way, as `driver.Streams` has it
 
     def __init__(self, limiter: Sends, connect_timeout: float, idle_close: float) -> None:
         self.limiter, self.connect_timeout = limiter, connect_timeout
@@ -117,7 +118,7 @@
         link = self.link(self, flight.srv)
         self.links[link] = None
         self.board(link, flight)
-        connect(self.limiter.loop, link.wire, address, self.connect_timeout)
+        self.connect(self.limiter.loop, link.wire, address, self.connect_timeout)
 
     def board(self, link: Link, flight: Flight) -> None:
         link.flight, flight.link, link.sent = flight, link, False
--- /dev/null
+++ b/loomstand/weather/book.py
@@ -0,0 +1,224 @@
+"""What people say and see: HTTP messages on simulated streams, and the book of a day's requests.
+
+Messages are read and written here by themselves, so that nothing of the programs' own parsers is trusted. A
+`Book` has in `faults` what breaks a rule whatever the day.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from loomstand.weather.streams import Address, End, Streams
+
+PROMISES = (408, 421, 429, 503)  # not run, and never will be
+Fields = dict[str, str]
+
+
+@dataclass(slots=True)
+class Message:
+    """One whole message."""
+
+    start: bytes
+    fields: Fields
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        return int(self.start.split()[1])
+
+
+class Broken(Exception):
+    """A connection that ended within a message, or bytes that are none; says how."""
+
+
+class Talk(asyncio.Protocol):
+    """One end of a connection: bytes that came, and how it ended."""
+
+    transport: End
+    stands: Callable[[], None] | None = None
+
+    def __init__(self) -> None:
+        self.buf, self.over = bytearray(), ""
+        self.waits: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        if self.stands is not None:
+            self.stands()
+
+    def data_received(self, data: bytes) -> None:
+        self.buf += data
+        self.wake()
+
+    def eof_received(self) -> bool:
+        self.over = self.over or "closed"
+        self.wake()
+        return True
+
+    def connection_lost(self, why: Exception | None) -> None:
+        self.over = self.over or ("reset" if why else "closed")
+        self.wake()
+
+    def wake(self) -> None:
+        if self.waits is not None and not self.waits.done():
+            self.waits.set_result(None)
+
+    async def more(self) -> None:
+        if self.over:
+            raise Broken(self.over)
+        self.waits = asyncio.get_running_loop().create_future()
+        await self.waits
+
+    async def line(self) -> bytes:
+        while (end := self.buf.find(b"\r\n")) < 0:
+            await self.more()
+        out = bytes(self.buf[:end])
+        del self.buf[: end + 2]
+        return out
+
+    async def take(self, n: int) -> bytes:
+        while len(self.buf) < n:
+            await self.more()
+        out = bytes(self.buf[:n])
+        del self.buf[:n]
+        return out
+
+    async def message(self) -> Message:
+        """The next one. Raises Broken."""
+        start, fields = await self.line(), Fields()
+        while line := await self.line():
+            name, colon, value = line.decode("latin-1").partition(":")
+            if not colon:
+                raise Broken("bytes that are no message")
+            fields[name.strip().lower()] = value.strip()
+        body = b""
+        if fields.get("transfer-encoding") == "chunked":
+            while size := int(await self.line(), 16):
+                body += await self.take(size)
+                await self.line()
+            await self.line()
+        elif "content-length" in fields:
+            body = await self.take(int(fields["content-length"]))
+        return Message(start, fields, body)
+
+
+@dataclass(slots=True)
+class Ask:
+    """A client's request, one try of it; `sent` and `front` are when and where it last went."""
+
+    id: str
+    method: str
+    host: str
+    path: str
+    key: str
+    body: bytes
+    idempotent: bool
+    sent: float = 0.0
+    front: Address = ("", 0)
+
+
+@dataclass(slots=True)
+class Reply:
+    """What came of a try: a status, or 0 and how it ended without one."""
+
+    status: int
+    end: str = ""
+    fields: Fields = field(default_factory=Fields)
+    body: bytes = b""
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class Run:
+    """A request at a server: that ran, or was turned away."""
+
+    at: float
+    service: str
+    server: str
+    id: str
+    tenant: str
+    ran: bool
+
+
+@dataclass(slots=True)
+class Book:
+    """All that the people saw."""
+
+    asks: dict[str, Ask] = field(default_factory=dict)
+    replies: dict[str, Reply] = field(default_factory=dict)
+    arrivals: list[Run] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    owners: dict[str, str] = field(default_factory=dict)  # of keys, ever: the tenant
+
+    def runs(self, id_: str = "") -> list[Run]:
+        return [r for r in self.arrivals if r.ran and id_ in ("", r.id)]
+
+    def arrived(self, run: Run, message: Message) -> None:
+        """At a server: checked against what the client sent (UNASKED)."""
+        self.arrivals.append(run)
+        ask = self.asks.get(run.id)
+        if ask is None:
+            self.faults.append(f"{run.id}: nobody sent this")
+            return
+        method, target, _ = message.start.decode("latin-1").split(" ")
+        if (method, target, message.body) != (ask.method, ask.path, ask.body):
+            self.faults.append(f"{run.id}: changed on its way: {message.start!r}")
+        seen = " ".join(message.fields.values())
+        if "authorization" in message.fields or (ask.key and ask.key in seen):
+            self.faults.append(f"{run.id}: its key went on")
+        if run.ran and run.tenant != self.owners.get(ask.key, ""):
+            self.faults.append(f"{run.id}: ran for {run.tenant!r}")
+
+    def got(self, ask: Ask, reply: Reply) -> None:
+        """At a client (MIXED)."""
+        self.replies[ask.id] = reply
+        said = reply.fields.get("loomstand-request-id", ask.id)
+        if said != ask.id:
+            self.faults.append(f"{ask.id}: the answer to {said}")
+        if 200 <= reply.status < 300:
+            stamp = reply.fields.get("loomstand-response-stamp", "")
+            if stamp != stamp_of(ask.id, reply.body):
+                self.faults.append(f"{ask.id}: a success with {reply.body[:40]!r}, stamped {stamp!r}")
+
+    def check(self) -> None:
+        """What breaks a rule on any day (MIXED, UNASKED, TWICE, REFUSED)."""
+        ran: dict[str, int] = {}
+        for run in self.runs():
+            ran[run.id] = ran.get(run.id, 0) + 1
+        for id_, times in ran.items():
+            ask, reply = self.asks[id_], self.replies.get(id_)
+            if not ask.idempotent and times > 1:
+                self.faults.append(f"{id_}: ran {times} times")
+            if reply is not None and reply.status in PROMISES:
+                self.faults.append(f"{id_}: answered {reply.status}, and ran")
+        assert self.faults == []
+
+
+def stamp_of(id_: str, body: bytes) -> str:
+    return f"3e1b.{id_}.{zlib.crc32(body):08x}"
+
+
+async def exchange(streams: Streams, address: Address, raw: bytes, within: float) -> Message | None:
+    """One call on a connection of its own; None where no whole answer comes in time."""
+    talk = None
+    try:
+        async with asyncio.timeout(within):
+            talk = await streams.open(Talk, address, within)
+            talk.transport.write(raw)
+            return await talk.message()
+    except (OSError, TimeoutError, Broken):
+        return None
+    finally:
+        if talk is not None:
+            talk.transport.abort()
+
+
+def post(call: str, body: bytes) -> bytes:
+    return (
+        b"POST /api/rpc?call=%b HTTP/1.1\r\nHost: core\r\nContent-Type: application/json\r\n"
+        b"Content-Length: %d\r\n\r\n%b" % (call.encode(), len(body), body)
+    )
--- /dev/null
+++ b/loomstand/weather/disk.py
@@ -0,0 +1,58 @@
+"""A simulated disk: pages written together, on the platter only after a while."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+COMMIT = 0.0035  # s for a commit on the target's disks
+
+
+@dataclass(slots=True)
+class Platter:
+    """What outlives a process: the pages, and the trouble that the disk is in."""
+
+    rng: Random
+    pages: dict[str, bytes] = field(default_factory=dict)
+    slower: float = 1.0  # a commit takes that many times as long
+    refuses: bool = False
+    hangs: bool = False
+    writes: int = 0
+    turn: int = 0  # counts losses of power and wipes: a write that began before one isn't heard of again
+
+    def power_off(self) -> None:
+        self.turn += 1
+
+    def wipe(self) -> None:
+        self.turn += 1
+        self.pages = {}
+
+
+@dataclass(slots=True)
+class SimDisk:
+    """A life's way to its platter; one write at a time, in order."""
+
+    platter: Platter
+    gate: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    async def load(self) -> dict[str, bytes]:
+        return dict(self.platter.pages)
+
+    async def save(self, pages: dict[str, bytes]) -> None:
+        platter, turn = self.platter, self.platter.turn
+        async with self.gate:
+            if platter.refuses:
+                await asyncio.sleep(COMMIT)
+                raise OSError("the disk refuses")
+            share = platter.rng.random()  # somewhere in it the pages are there, though nobody knows yet
+            await self._spin(share)
+            if platter.turn == turn:
+                platter.pages.update(pages)
+                platter.writes += 1
+            await self._spin(1.0 - share)
+
+    async def _spin(self, share: float) -> None:
+        await asyncio.sleep(COMMIT * share * self.platter.slower)
+        while self.platter.hangs:
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/loomstand/weather/loop.py
@@ -0,0 +1,142 @@
+"""An event loop whose time is made up: waiting takes none, and machines in it can be frozen or killed.
+
+What runs belongs to the `Life` in whose context it was started, and whatever it starts or waits for does too.
+A frozen life's callbacks wait until it thaws; a dead one's never run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import contextvars
+import selectors
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, eq=False)
+class Life:
+    """A process from its start to its end."""
+
+    alive: bool = True
+    frozen: bool = False
+    parked: list[_Gate] = field(default_factory=list)
+
+    def context(self) -> contextvars.Context:
+        """In which to start what belongs to this life."""
+        made = contextvars.Context()
+        made.run(LIFE.set, self)
+        return made
+
+    def thaw(self) -> None:
+        self.frozen = False
+        parked, self.parked = self.parked, []
+        for gate in parked:
+            asyncio.get_running_loop().call_soon(gate, context=_NOBODY)
+
+
+@dataclass(slots=True, eq=False)
+class _Gate:
+    """A callback of a life, which may be cancelled while that is frozen."""
+
+    life: Life
+    callback: Callable[..., Any]
+    args: tuple[Any, ...]
+    context: contextvars.Context
+    handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        if not self.life.alive or (self.handle is not None and self.handle.cancelled()):
+            return
+        if self.life.frozen:
+            self.life.parked.append(self)
+        else:
+            self.context.run(self.callback, *self.args)
+
+
+LIFE: contextvars.ContextVar[Life | None] = contextvars.ContextVar("life", default=None)
+_NOBODY = contextvars.Context()
+
+
+class _Skip(selectors.BaseSelector):
+    """Instead of waiting, moves the loop's clock to the next timer."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.keys: dict[Any, selectors.SelectorKey] = {}
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        self.keys[fileobj] = selectors.SelectorKey(fileobj, 0, events, data)
+        return self.keys[fileobj]
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        return self.keys.pop(fileobj)
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("nothing will ever happen here: a wait without an end")
+        self.now += max(0.0, timeout)
+        return []
+
+    def get_map(self) -> dict[Any, selectors.SelectorKey]:
+        return self.keys
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._skip = _Skip()
+        super().__init__(self._skip)
+        # held till they're done, so that a dead life's work isn't unwound while others still run
+        self.made: set[asyncio.Task[Any]] = set()
+
+        def make(loop: Any, coro: Any, **kwargs: Any) -> asyncio.Task[Any]:
+            task = asyncio.Task(coro, loop=loop, **kwargs)
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+            self.made.add(task)
+            task.add_done_callback(self.made.discard, context=contextvars.Context())
+            return task
+
+        self.set_task_factory(make)
+
+    def time(self) -> float:
+        return self._skip.now
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:
+        context = contextvars.copy_context() if context is None else context
+        life = context.get(LIFE)
+        if self.is_closed():  # work that is unwound at the end has nothing left to wake
+            return asyncio.Handle(callback, args, self, context)
+        if life is None:
+            return super().call_soon(callback, *args, context=context)
+        gate = _Gate(life, callback, args, context)
+        gate.handle = super().call_soon(gate, context=_NOBODY)
+        return gate.handle
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> asyncio.TimerHandle:
+        context = contextvars.copy_context() if context is None else context
+        life = context.get(LIFE)
+        if life is None:
+            return super().call_at(when, callback, *args, context=context)
+        gate = _Gate(life, callback, args, context)
+        gate.handle = timer = super().call_at(when, gate, context=_NOBODY)
+        return timer
+
+    def close(self) -> None:
+        """Ends all work, that of the dead too."""
+        super().close()
+        for task in self.made:
+            with contextlib.suppress(RuntimeError):
+                task.get_coro().close()  # type: ignore[union-attr]
+        self.made.clear()
+
+
+def play(work: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Runs `work` on a loop of its own, whose time begins at 0."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(work())
+    finally:
+        loop.close()
--- /dev/null
+++ b/loomstand/weather/network.py
@@ -0,0 +1,151 @@
+"""The sky over all machines: who reaches whom and how fast. Calls go over it as over TCP connections.
+
+A call first needs a connection to the listener's present life: one round trip. Where nobody listens, it's
+refused at once; a machine that is off, or behind a cut, stays silent. Bytes that meet a cut are lost, or held
+up until it's mended; the caller has long given up by then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from loomstand.furrow import Address, Serve
+from loomstand.orchard.verdict import Refused, Verdict
+from loomstand.weather.loop import LIFE, Life
+
+DELAY = (0.0005, 0.004)  # s one way: machines of one region, and of neighbouring ones
+Body = dict[str, Any]
+
+
+@dataclass(slots=True)
+class Listener:
+    life: Life
+    serve: Serve
+
+
+@dataclass(slots=True)
+class Sky:
+    rng: Random
+    listeners: dict[Address, Listener] = field(default_factory=dict)
+    off: set[str] = field(default_factory=set)  # hosts without power
+    cuts: set[tuple[str, str]] = field(default_factory=set)  # from, to: nothing comes through
+    slow: dict[str, float] = field(default_factory=dict)  # s more, to and from a host
+    lost: float = 0.0  # share of calls whose request or answer is lost, their connection with them
+    held: list[tuple[str, str, asyncio.Future[None]]] = field(default_factory=list)
+
+    def cut(self, one: str, other: str, both: bool = True) -> None:
+        self.cuts |= {(one, other), (other, one)} if both else {(one, other)}
+
+    def apart(self, *sides: list[str]) -> None:
+        """Cuts the sides from each other."""
+        for i, side in enumerate(sides):
+            for other in (h for rest in sides[i + 1 :] for h in rest):
+                for host in side:
+                    self.cut(host, other)
+
+    def mend(self) -> None:
+        """Ends all cuts; bytes that were held up go on."""
+        self.cuts.clear()
+        held, self.held = self.held, []
+        for *_, through in held:
+            if not through.done():
+                through.set_result(None)
+
+    def open(self, one: str, other: str) -> bool:
+        return (one, other) not in self.cuts and one not in self.off and other not in self.off
+
+    async def carry(self, one: str, other: str) -> bool:
+        """Bytes on their way; whether they arrive."""
+        low, high = DELAY
+        await asyncio.sleep(self.rng.uniform(low, high) + self.slow.get(one, 0.0) + self.slow.get(other, 0.0))
+        if self.open(one, other):
+            return self.rng.random() >= self.lost
+        if (one, other) in self.cuts and self.rng.random() < 0.5:
+            through = asyncio.get_running_loop().create_future()
+            self.held.append((one, other, through))
+            await through
+            return self.open(one, other)
+        return False
+
+
+@dataclass(slots=True)
+class Air:
+    """A machine's Network, for one life."""
+
+    sky: Sky
+    host: str
+    life: Life
+    met: dict[Address, Life] = field(default_factory=dict)  # connections that stand
+
+    async def listen(self, address: Address, serve: Serve) -> None:
+        self.sky.listeners[address] = Listener(self.life, serve)
+
+    async def call(self, address: Address, op: str, body: Body, within: float) -> Result[Body, Verdict]:
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[Result[Body, Verdict]] = loop.create_future()
+        sent: list[bool] = []  # whether the request's bytes are under way
+        # on the wire nothing is frozen or killed with the caller
+        run = loop.create_task(self._run(address, op, body, sent, answer), context=_WIRE.copy())
+        try:
+            async with asyncio.timeout(within):
+                return await answer
+        except TimeoutError:
+            self.met.pop(address, None)
+            del run  # goes on: what is under way may still arrive
+            return Error(Verdict.MAY_HAVE_RUN if sent else Verdict.NEVER_RAN)
+
+    async def _run(self, address: Address, op: str, body: Body, sent: list[bool], answer: Any) -> None:
+        there = self.sky.listeners.get(address)
+        if self.met.get(address) is not (there.life if there else None) or there is None:
+            if not (
+                await self.sky.carry(self.host, address[0]) and await self.sky.carry(address[0], self.host)
+            ):
+                return
+            there = self.sky.listeners.get(address)
+            if there is None or not there.life.alive:
+                return _give(answer, Error(Verdict.NEVER_RAN))
+            self.met[address] = there.life
+        if answer.done():
+            return
+        sent.append(True)
+        if not await self.sky.carry(self.host, address[0]):
+            return
+        if not there.life.alive:
+            if self.sky.open(address[0], self.host):
+                _give(answer, Error(Verdict.MAY_HAVE_RUN))
+            return
+        loop = asyncio.get_running_loop()
+        reply: asyncio.Future[Result[Body, Verdict]] = loop.create_future()
+        served = loop.create_task(_serve(there.serve, op, body, reply), context=there.life.context())
+        result = await reply
+        del served
+        if there.life.alive and await self.sky.carry(address[0], self.host):
+            _give(answer, result)
+
+
+async def _serve(serve: Serve, op: str, body: Body, reply: Any) -> None:
+    try:
+        reply.set_result(Ok(await serve(op, body)))
+    except Refused:
+        reply.set_result(Error(Verdict.REFUSED))
+
+
+def _give(answer: Any, result: Any) -> None:
+    if not answer.done():
+        answer.set_result(result)
+
+
+def _wire() -> Any:
+    import contextvars
+
+    made = contextvars.Context()
+    made.run(LIFE.set, None)
+    return made
+
+
+_WIRE = _wire()
--- /dev/null
+++ b/loomstand/weather/people.py
@@ -0,0 +1,340 @@
+"""Who uses the system: servers, clients and the operator, as the pages describe them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from loomstand.weather.book import (
+    PROMISES,
+    Ask,
+    Book,
+    Broken,
+    Message,
+    Reply,
+    Run,
+    Talk,
+    exchange,
+    post,
+    stamp_of,
+)
+from loomstand.weather.loop import Life
+from loomstand.weather.streams import Address, Cables, Port, Streams
+
+ANSWER = re.compile(rb"HTTP/1\.1 ([1-5][0-9]{2}) [^\r\n]*")
+FINAL = (400, 401, 404, 413, 431)  # after these no further try is made
+
+
+class Server:
+    """A server of a service. `trouble` is what befalls its requests: "" or one of
+
+    `full` (Not-Executed), `error` (its own 500), `bare` (a success without its stamp); and, after the run:
+    `close`, `silent`, `reset`, `cut` (within the answer), `spoilt` (bytes that are no answer), `surplus` (a
+    second answer at once), `late` (the second answer comes where the next is due), `slow` (a second more).
+    `refuses` resets new connections. `dark` hears and says nothing, runs nothing.
+    """
+
+    def __init__(
+        self, cables: Cables, book: Book, rng: Random, address: Address, service: str, zone: str,
+        cores: list[Address],
+    ) -> None:  # fmt: skip
+        self.cables, self.book, self.rng, self.cores = cables, book, rng, cores
+        self.address, self.service, self.zone = address, service, zone
+        self.slots, self.queue, self.work, self.keep = 8, 8, (0.005, 0.02), 10
+        self.trouble, self.share, self.only = "", 1.0, ""  # `only` for requests of that method
+        self.id, self.state, self.sequence, self.core = "", "ready", 0, 0
+        self.life: Life | None = None
+        self.port: Port | None = None
+        self.busy, self.waiting, self.last = 0, 0, ""
+        self.acked: tuple[float, Address] | None = None  # when and by whom the newest beat was
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self) -> None:
+        """A new life."""
+        self.id, self.state, self.sequence = f"i-{self.rng.getrandbits(32):08x}", "ready", 0
+        self.life, self.busy, self.waiting = Life(), 0, 0
+        self.streams = Streams(self.cables, self.address[0], self.life)
+        self.spawn(self.run())
+
+    def kill(self) -> None:
+        if self.life is not None:
+            self.life.alive = False
+            self.cables.died(self.life)
+        if self.port is not None:
+            self.port.close()
+
+    def spawn(self, work: Any) -> None:
+        assert self.life is not None
+        task = asyncio.get_running_loop().create_task(work, context=self.life.context())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.port = await self.streams.listen(loop, lambda: Served(self), self.address)
+        while True:
+            await self.beat()
+            await asyncio.sleep(1.5 * self.rng.uniform(0.9, 1.1))
+
+    async def beat(self) -> bool:
+        """One heartbeat, at the next core machine where one fails."""
+        for _ in range(len(self.cores)):
+            self.sequence += 1
+            info = {"service_name": self.service, "version": "v1", "zone": self.zone}
+            info["capacity_slots"] = self.slots
+            status = {"state": self.state, "sequence": self.sequence, "cold_remaining": "0ms"}
+            where = f"{self.address[0]}:{self.address[1]}"
+            body = json.dumps({"address": where, "information": info, "status": status}).encode()
+            if await self.tell(f"instances.heartbeat&of={self.id}", body):
+                return True
+            self.core += 1
+        return False
+
+    async def tell(self, call: str, body: bytes) -> bool:
+        core = self.cores[self.core % len(self.cores)]
+        got = await exchange(self.streams, core, post(call, body), 1.0)
+        if got is None or not 200 <= got.status < 300:
+            return False
+        self.acked = asyncio.get_running_loop().time(), core
+        return True
+
+    async def drain(self) -> tuple[float, Address]:
+        """Says that it leaves; when that was acknowledged, and by whom."""
+        self.state = "draining"
+        while not await self.beat():
+            await asyncio.sleep(0.2)
+        assert self.acked is not None
+        return self.acked
+
+    async def leave(self) -> None:
+        await self.tell(f"instances.leave&of={self.id}", b"")
+        self.kill()
+
+    # requests
+
+    async def serve(self, talk: Served) -> None:
+        try:
+            while not talk.over:
+                message = await talk.message()
+                await self.one(talk, message)
+        except Broken:
+            pass
+        talk.transport.close()
+
+    async def one(self, talk: Served, message: Message) -> None:
+        loop, fields = asyncio.get_running_loop(), message.fields
+        id_ = fields.get("loomstand-request-id", "")
+        method = message.start.split(b" ")[0].decode()
+        hit = self.only in ("", method) and self.rng.random() < self.share
+        trouble = self.trouble if hit else ""
+        wait = int(fields.get("loomstand-deadline-remaining", 60_000)) / 1000
+        until = loop.time() + wait
+        run = Run(loop.time(), self.service, self.id, id_, fields.get("loomstand-tenant-name", ""), False)
+        if trouble == "dark":
+            await asyncio.Event().wait()
+        if fields.get("loomstand-expected-instance", self.id) != self.id:
+            self.book.arrived(run, message)
+            self.say(talk, 421, id_, b"", turned=True)
+            return
+        full = self.busy >= self.slots and self.waiting >= self.queue
+        if trouble == "full" or full or not id_:
+            self.book.arrived(run, message)
+            self.say(talk, 503 if id_ else 400, id_, b"full", turned=True)
+            return
+        self.waiting += 1
+        while self.busy >= self.slots and not talk.over and loop.time() < until:
+            await asyncio.sleep(0.002)
+        self.waiting -= 1
+        if loop.time() >= until or talk.over:
+            self.book.arrived(run, message)
+            self.say(talk, 503, id_, b"", turned=True)
+            return
+        self.busy += 1
+        run.ran, run.at = True, loop.time()
+        self.book.arrived(run, message)
+        try:
+            work = self.rng.uniform(*self.work) + (1.0 if trouble == "slow" else 0.0)
+            await asyncio.sleep(max(0.0, min(work, until - loop.time())))
+        finally:
+            self.busy -= 1
+        await self.answer(talk, id_, trouble, b"504" if loop.time() >= until else b"")
+
+    async def answer(self, talk: Served, id_: str, trouble: str, late: bytes) -> None:
+        body = b"%s %d " % (id_.encode(), self.rng.getrandbits(32)) + b"x" * self.rng.randrange(300)
+        if trouble == "close":
+            talk.transport.abort()
+        elif trouble == "silent":
+            await asyncio.Event().wait()
+        elif trouble == "reset":
+            talk.transport.reset()
+            talk.transport.fail(ConnectionResetError())
+        elif trouble == "cut":
+            raw = self.said(200, id_, body)
+            talk.transport.write(raw[: self.rng.randrange(1, len(raw))])
+            talk.transport.close()
+        elif trouble == "spoilt":
+            raw = self.said(200, id_, body)
+            at = self.rng.choice((0, 3, raw.index(b"Content-Length") + 16))
+            talk.transport.write(raw[:at] + b"\x00\xff spoilt\r\n" + raw[at:])
+        elif late or trouble == "error":
+            self.say(talk, 504 if late else 500, id_, body)
+        elif trouble == "bare":
+            talk.transport.write(self.said(200, id_, body, stamp=False))
+        elif trouble == "late" and talk.held:
+            # the surplus answer of the request before, where this one's is due
+            talk.transport.write(talk.held)
+            await asyncio.sleep(self.rng.choice((0.0, 0.02)))
+            self.say(talk, 200, id_, body)
+        else:
+            self.say(talk, 200, id_, body)
+            if trouble == "surplus":
+                await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.001, 0.03)))
+                self.say(talk, 200, id_, body + b" again")
+        talk.held = self.said(200, id_, body + b" again")
+
+    def say(self, talk: Served, status: int, id_: str, body: bytes, turned: bool = False) -> None:
+        talk.transport.write(self.said(status, id_, body, turned))
+
+    def said(self, status: int, id_: str, body: bytes, turned: bool = False, stamp: bool = True) -> bytes:
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", f"Keep-Alive: timeout={self.keep}"]
+        if id_:
+            lines.append(f"Loomstand-Request-Id: {id_}")
+        if turned:
+            lines.append("Loomstand-Not-Executed: true")
+        elif stamp:
+            lines.append(f"Loomstand-Response-Stamp: {stamp_of(id_, body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Served(Talk):
+    """A connection at a server."""
+
+    def __init__(self, server: Server) -> None:
+        super().__init__()
+        self.server, self.held = server, b""
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        if self.server.trouble == "refuses":
+            transport.reset()
+            transport.fail(ConnectionResetError())
+        else:
+            self.server.spawn(self.server.serve(self))
+
+
+class Client:
+    """Makes requests, on kept connections or each on its own."""
+
+    def __init__(
+        self, streams: Streams, book: Book, rng: Random, fronts: Callable[[], list[Address]]
+    ) -> None:
+        self.streams, self.book, self.rng, self.fronts = streams, book, rng, fronts
+        self.idle: dict[Address, Talk] = {}
+        self.keep, self.chunked = True, False
+
+    def ask(
+        self, method: str, host: str, path: str, key: str = "", body: bytes = b"", idempotent: bool = False
+    ) -> Ask:
+        ask = Ask(f"{self.rng.getrandbits(64):016x}", method, host, path, key, body, idempotent)
+        self.book.asks[ask.id] = ask
+        return ask
+
+    def raw(self, ask: Ask, left: float) -> bytes:
+        lines = [
+            f"{ask.method} {ask.path} HTTP/1.1", f"Host: {ask.host}", f"Loomstand-Request-Id: {ask.id}",
+            f"Loomstand-Deadline-Remaining: {int(left * 1000)}", "Loomstand-Tenant-Name: somebody",
+        ]  # fmt: skip
+        lines += [f"Authorization: Bearer {ask.key}"] if ask.key else []
+        body = ask.body
+        if self.chunked and body:
+            lines.append("Transfer-Encoding: chunked")
+            half = len(body) // 2
+            parts = [p for p in (body[:half], body[half:]) if p]
+            body = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+        elif body:
+            lines.append(f"Content-Length: {len(body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    async def once(self, ask: Ask, front: Address, within: float = 5.0) -> Reply:
+        """One try; what comes is checked."""
+        loop = asyncio.get_running_loop()
+        talk, reply = self.idle.pop(front, None), Reply(0, "silent")
+        ask.sent, ask.front = loop.time(), front
+        if talk is not None and talk.buf:
+            self.book.faults.append(f"{ask.id}: {bytes(talk.buf[:60])!r} where nothing was asked")
+        if talk is not None and talk.over:
+            talk = None
+        try:
+            async with asyncio.timeout(within):
+                if talk is None:
+                    talk = await self.streams.open(Talk, front, 1.0)
+                talk.transport.write(self.raw(ask, within))
+                got = await talk.message()
+                if ANSWER.fullmatch(got.start) is None or "content-length" not in got.fields:
+                    self.book.faults.append(f"{ask.id}: no answer: {got.start!r}")
+                reply = Reply(got.status, "", got.fields, got.body)
+        except Broken as why:
+            reply = Reply(0, str(why))
+        except ConnectionRefusedError:
+            reply = Reply(0, "refused")
+        except TimeoutError:
+            reply = Reply(0, "silent" if talk is not None else "refused")
+        reply.at = loop.time()
+        self.book.got(ask, reply)
+        if talk is not None:
+            if self.keep and reply.status and reply.fields.get("connection", "").lower() != "close":
+                self.idle[front] = talk
+            else:
+                talk.transport.close()
+        return reply
+
+    async def go(self, *what: Any, within: float = 5.0, tries: int = 3, **more: Any) -> Reply:
+        """A request with its further tries, each under an id of its own on a new connection."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within
+        for n in range(tries):
+            ask, left = self.ask(*what, **more), until - loop.time()
+            reply = await self.once(ask, self.rng.choice(self.fronts()), left)
+            if 200 <= reply.status < 300 or reply.status in FINAL or n + 1 == tries:
+                break
+            if not (ask.idempotent or reply.status in PROMISES or reply.end == "refused"):
+                break
+            wait = float(reply.fields.get("retry-after", 0.05))
+            wait = min(wait, (until - loop.time()) / 3)
+            if until - loop.time() - wait < 0.05:
+                break
+            await asyncio.sleep(wait)
+        return reply
+
+
+class Operator:
+    """Sends configurations to the core and reads them back, moving on from whoever fails."""
+
+    def __init__(self, streams: Streams, rng: Random, cores: list[Address]) -> None:
+        self.streams, self.rng, self.cores, self.at = streams, rng, cores, 0
+
+    async def call(self, call: str, body: bytes, lasts: float) -> Message | None:
+        """The answer, or None where none came in `lasts` seconds."""
+        loop = asyncio.get_running_loop()
+        until, pause = loop.time() + lasts, 0.05
+        while loop.time() < until:
+            core = self.cores[self.at % len(self.cores)]
+            got = await exchange(self.streams, core, post(call, body), 1.0)
+            if got is not None and (got.status < 500 and got.status not in (408, 429)):
+                return got
+            self.at += 1
+            await asyncio.sleep(pause)
+            pause = min(1.0, 1.5 * pause)
+        return None
+
+    async def replace(self, body: bytes, lasts: float = 5.0) -> bool:
+        got = await self.call("configuration.replace", body, lasts)
+        return got is not None and got.status == 200
+
+    async def read(self, lasts: float = 5.0) -> bytes:
+        got = await self.call("configuration.read", b"", lasts)
+        return got.body if got is not None and got.status == 200 else b""
--- /dev/null
+++ b/loomstand/weather/town.py
@@ -0,0 +1,336 @@
+"""A whole town: core machines, proxies and the people who use them, in one process and no time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from loomstand.brain import Brain
+from loomstand.granary.program import Granary, Place
+from loomstand.nursery.whole import Whole
+from loomstand.orchard.settings import Settings, parse
+from loomstand.stile.program import Stile
+from loomstand.weather.book import Book, exchange
+from loomstand.weather.disk import Platter
+from loomstand.weather.loop import Life, VirtualLoop
+from loomstand.weather.machine import Factory
+from loomstand.weather.network import Sky
+from loomstand.weather.people import Client, Operator, Server
+from loomstand.weather.streams import Address, Cables, Host, Streams
+
+ZONES = "east", "west"
+CONTROL, FRONT, READY, SERVING = 8783, 8782, 8789, 8080
+WALL = 1.8e9  # the time of day when the loop's is 0
+LOOK = 1.0  # s between the platform's looks at who is ready
+SETTINGS = """
+self.node_name={name}
+self.role=r
+self.machine_class=m
+self.serves=
+self.ip_address={ip}
+self.zone={zone}
+self.region=all
+self.loss_counted=true
+self.first_start={first}
+network.listen_addresses.frontend={ip}:8782
+network.listen_addresses.readiness={ip}:8789
+network.listen_addresses.control_plane={ip}:8783
+network.internal_ports=7340,7355
+network.seed_nodes={seeds}
+network.zones.east=all
+network.zones.west=all
+"""
+
+
+class Virtual:
+    """In the place of the selector's readings: bytes have come when they are read."""
+
+    count, longest = 0, 0.0
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+
+    @property
+    def since(self) -> float:
+        return self.loop.time()
+
+    def came(self, made: int, made_at: float) -> float:
+        return self.since
+
+
+class Proxy(Stile):
+    """A proxy on the loop's clock, whose own troubles fail the test."""
+
+    def __init__(
+        self, settings: Settings, network: Any, rng: Random, streams: Streams, wall: float, faults: list[str]
+    ) -> None:
+        self.wall, self.faults = wall, faults
+        super().__init__(settings, network, rng, Virtual(), streams)  # type: ignore[arg-type]
+        self.log = self.hear
+
+    def begin(self) -> Brain:
+        if "brain" not in self.__dict__:  # at its start: the time of day as its machine has it
+            self.epoch = int(self.wall * 1e9)
+        return super().begin()
+
+    def now(self) -> int:
+        return int(self.loop.time() * 10_000) + self.epoch // 100_000
+
+    def hear(self, text: str) -> None:
+        if "failed on" in text:
+            self.faults.append(text)
+
+    def failed(self, loop: asyncio.AbstractEventLoop, what: dict[str, Any]) -> None:
+        self.faults.append(f"{what.get('message')}: {what.get('exception')!r}")
+
+
+class Runs:
+    """A proxy or registry as a machine runs it: `stop` returns when it has ended."""
+
+    def __init__(self, inner: Any) -> None:
+        self.inner, self.ended = inner, asyncio.Event()
+
+    async def run(self) -> None:
+        await self.inner.run()
+        self.ended.set()
+
+    async def stop(self) -> None:
+        self.inner.stop()
+        await self.ended.wait()
+
+
+class Town:
+    """`cores` core machines with a registry and a store each, `proxies`, and the servers of each service."""
+
+    def __init__(self, seed: int = 1, cores: int = 3, proxies: int = 4, servers: int = 3) -> None:
+        self.loop = VirtualLoop()
+        self.rng, self.book = Random(seed), Book()
+        self.sky = Sky(Random(self.rng.getrandbits(64)))
+        self.cables = Cables(self.sky, Random(self.rng.getrandbits(64)))
+        self.first = True
+        self.core_ips = [f"10.1.0.{n + 1}" for n in range(cores)]
+        self.controls = [(ip, CONTROL) for ip in self.core_ips]
+        self.nurseries = {ip: self.host(ip, self.nursery(ip)) for ip in self.core_ips}
+        self.stores = {ip: self.host(ip, self.store(ip)) for ip in self.core_ips}
+        self.proxies = {f"10.2.0.{n + 1}": Host for n in range(proxies)}
+        self.proxies = {ip: self.host(ip, self.proxy(ip)) for ip in self.proxies}
+        self.loop.set_exception_handler(self.failed)
+        self.do(self.people(servers))
+        self.versions: dict[int, bytes] = {}
+        self.version, self.resources = 0, dict[tuple[str, str], dict[str, Any]]()
+        self.inside: list[Address] = []  # proxies that the platform passes connections to
+        self.background: list[asyncio.Task[Any]] = []
+
+    def failed(self, loop: asyncio.AbstractEventLoop, what: dict[str, Any]) -> None:
+        self.book.faults.append(f"{what.get('message')}: {what.get('exception')!r}")
+
+    def host(self, ip: str, make: Factory) -> Host:
+        made = Host(
+            ip, self.sky, Random(self.rng.getrandbits(64)), [make], Platter(Random(self.rng.getrandbits(64))),
+            self.rng.uniform(0, 1e4),
+        )  # fmt: skip
+        made.cables = self.cables
+        return made
+
+    def settings(self, ip: str) -> Settings:
+        zone = ZONES[int(ip.split(".")[-1]) % 2]
+        seeds = ",".join(f"{ip}:{CONTROL}" for ip in self.core_ips[:3])
+        first = str(self.first).lower()
+        return parse(SETTINGS.format(name=f"n-{ip}", ip=ip, zone=zone, first=first, seeds=seeds))
+
+    def wall(self, rng: Random) -> float:
+        return WALL + self.loop.time() + rng.uniform(-0.2, 0.2)
+
+    def nursery(self, ip: str) -> Factory:
+        def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
+            streams = Streams(self.cables, ip, air.life)
+            return Runs(
+                Whole(self.settings(ip), air, Virtual(), clock, self.wall(rng), streams)  # type: ignore[arg-type]
+            )
+
+        return make
+
+    def store(self, ip: str) -> Factory:
+        def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
+            settings = self.settings(ip)
+            seeds = tuple(settings.granary(seed) for seed, _ in settings.seeds)
+            place = Place(settings.granary(ip), seeds, settings.first_start)
+            return Granary(place, air, disk, clock, rng)
+
+        return make
+
+    def proxy(self, ip: str) -> Factory:
+        def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
+            streams = Streams(self.cables, ip, air.life)
+            return Runs(Proxy(self.settings(ip), air, rng, streams, self.wall(rng), self.book.faults))
+
+        return make
+
+    async def people(self, servers: int) -> None:
+        self.servers: dict[str, list[Server]] = {}
+        for s, service in enumerate(("alpha", "beta")):
+            self.servers[service] = [
+                self.server(f"10.3.{s}.{n + 1}", service, ZONES[n % 2]) for n in range(servers)
+            ]
+        self.operator = Operator(self.streams("10.8.0.1"), self.rng, self.controls)
+        self.client = self.someone()
+
+    def server(self, ip: str, service: str, zone: str) -> Server:
+        rng = Random(self.rng.getrandbits(64))
+        made = Server(self.cables, self.book, rng, (ip, SERVING), service, zone, [*self.controls])
+        made.core = self.rng.randrange(len(self.controls))
+        return made
+
+    def streams(self, ip: str) -> Streams:
+        return Streams(self.cables, ip, Life())
+
+    def someone(self) -> Client:
+        rng = Random(self.rng.getrandbits(64))
+        return Client(self.streams("10.9.0.1"), self.book, rng, lambda: self.inside)
+
+    # time
+
+    def do(self, work: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    def wait(self, seconds: float) -> None:
+        self.do(asyncio.sleep(seconds))
+
+    async def until(self, there: Callable[[], bool], within: float) -> float:
+        """Waits until something is so; how long it took. Fails after `within` seconds."""
+        begun = self.loop.time()
+        while not there():
+            assert self.loop.time() - begun < within, f"not within {within} s"
+            await asyncio.sleep(0.005)
+        return self.loop.time() - begun
+
+    def behind(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Goes on beside what the test does, to its end."""
+        task = self.loop.create_task(work)
+        self.background.append(task)
+        return task
+
+    def close(self) -> None:
+        """Ends it all, and checks what the people saw."""
+        try:
+            for task in self.background:
+                if task.done() and not task.cancelled():
+                    task.result()
+            self.book.check()
+        finally:
+            self.loop.close()
+
+    # life
+
+    async def begin(self) -> None:
+        """All start; the operator sends the first configuration; the platform finds all proxies ready."""
+        for host in (*self.stores.values(), *self.nurseries.values(), *self.proxies.values()):
+            host.start()
+        for server in (s for many in self.servers.values() for s in many):
+            server.start()
+        self.behind(self.platform())
+        await asyncio.sleep(0.5)
+        assert await self.replace(20.0)
+        await self.until(lambda: len(self.inside) == len(self.proxies), 6.0)
+        self.first = False
+
+    async def platform(self) -> None:
+        """Looks once a second who is ready; two misses put a proxy out."""
+        streams, misses = self.streams("10.7.0.1"), dict.fromkeys(self.proxies, 2)
+
+        async def look(ip: str) -> None:
+            misses[ip] = 0 if await self.ready(ip, streams) else misses[ip] + 1
+
+        while True:
+            await asyncio.gather(*(look(ip) for ip in self.proxies))
+            fit = [ip for ip, n in misses.items() if n < 2]
+            if 2 * len(fit) < len(misses):
+                fit = [*misses] if fit else []
+            self.inside = [(ip, FRONT) for ip in fit]
+            await asyncio.sleep(LOOK)
+
+    async def ready(self, ip: str, streams: Streams | None = None) -> bool:
+        raw = b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
+        got = await exchange(streams or self.streams("10.7.0.1"), (ip, READY), raw, 0.9)
+        return got is not None and got.status == 200
+
+    def stile(self, ip: str) -> Proxy:
+        return self.proxies[ip].programs[0].inner
+
+    def registry(self, ip: str) -> Whole:
+        return self.nurseries[ip].programs[0].inner
+
+    def all_stiles(self) -> list[Proxy]:
+        return [self.stile(ip) for ip, host in self.proxies.items() if host.runs]
+
+    def counting(self) -> str:
+        """The core machine whose registry counts."""
+        held = [ip for ip, h in self.nurseries.items() if h.runs and self.registry(ip).lease_until
+                > self.registry(ip).clock()]  # fmt: skip
+        assert len(held) == 1
+        return held[0]
+
+    def core(self, ip: str) -> tuple[Host, Host]:
+        return self.nurseries[ip], self.stores[ip]
+
+    # the configuration
+
+    def route(self, name: str, service: str, kind: str = "idempotent", **more: Any) -> None:
+        """Of host `town.example`, under /NAME/."""
+        self.resources["routes", name] = {
+            "host": "town.example", "path_prefix": f"/{name}/", "route_kind": kind, "timeout": "5000ms",
+            "target_latency": "800ms", "priority": 1, "service_name": service, "maximum_attempts": 3,
+            "public": False,
+        } | more  # fmt: skip
+
+    def tenant(self, name: str, key: str, rate: float = 0, burst: float = 0) -> None:
+        self.resources["tenants", name] = {
+            "api_keys": [key], "priority": 1, "rate_per_s": rate, "burst_size": burst
+        }  # fmt: skip
+        self.book.owners[key] = name
+
+    def usual(self) -> None:
+        for service in self.servers:
+            self.resources["services", service] = {"health_check_path": "/health", "connection_limit": 130}
+        self.route("a", "alpha")
+        self.route("once", "alpha", "non_idempotent")
+        self.route("b", "beta")
+        self.tenant("ann", "key-of-ann")
+
+    def body(self, version: int) -> bytes:
+        resources = [
+            {"resource_kind": kind, "metadata": {"name": name}, "specification": spec}
+            for (kind, name), spec in self.resources.items()
+        ]
+        return json.dumps({"version": f"r{version}", "resources": resources}).encode()
+
+    async def replace(self, lasts: float = 5.0) -> bool:
+        """The operator sends what is in `resources` under the next version."""
+        if not self.resources:
+            self.usual()
+        self.version += self.rng.choice((1, 1, 3))
+        self.versions[self.version] = body = self.body(self.version)
+        return await self.operator.replace(body, lasts)
+
+    # requests
+
+    async def get(self, name: str = "a", key: str = "key-of-ann", **more: Any) -> Any:
+        return await self.client.go("GET", "town.example", f"/{name}/x?n=1", key, idempotent=True, **more)
+
+    async def once(self, name: str = "once", key: str = "key-of-ann", at: str = "", **more: Any) -> Any:
+        """One try of a request that can't be repeated, or of whatever route; gives ask and reply."""
+        ask = self.client.ask("POST", "town.example", f"/{name}/x", key, b"body " * 20, **more)
+        front = (at, FRONT) if at else self.rng.choice(self.inside)
+        return ask, await self.client.once(ask, front)
+
+    async def flow(self, client: Client, rate: float, seconds: float, *what: Any, **more: Any) -> list[Any]:
+        """So many requests a second, each going its own way; what came of each."""
+        begun, tasks = self.loop.time(), []
+        rng = Random(self.rng.getrandbits(64))
+        while self.loop.time() - begun < seconds:
+            tasks.append(self.loop.create_task(client.go(*what, **more)))
+            await asyncio.sleep(rng.expovariate(rate))
+        return list(await asyncio.gather(*tasks))
--- /dev/null
+++ b/tests/test_granary.py
@@ -0,0 +1,566 @@
+"""The store of configuration in simulated weather: stories, and random faults under its invariants."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from loomstand.granary.program import Granary, Place
+from loomstand.granary.shelf import Shelf
+from loomstand.granary.tenure import HOLD, LEASE, Tenure
+from loomstand.granary.views import Member, Record, View
+from loomstand.orchard.verdict import Refused
+from loomstand.weather.loop import Life, VirtualLoop
+from loomstand.weather.machine import Machine, machines
+from loomstand.weather.network import Air, Sky
+
+scenarios("features/granary.feature")
+PORT, OPERATOR = 7341, "10.9.0.1"
+HOSTS = [f"10.{zone}.0.1" for zone in range(1, 5)]
+
+
+class World:
+    """A core with its operators, who keep what they sent and what was acknowledged; checked all the while."""
+
+    def __init__(self, seed: int = 1, hosts: tuple[str, ...] = (*HOSTS,)) -> None:
+        self.loop = VirtualLoop()
+        self.rng = Random(seed)
+        self.sky = Sky(self.rng)
+        self.first = True
+        self.seeds = [*hosts[:3]]
+        self.air = Air(self.sky, OPERATOR, Life())
+        self.machines = machines(self.sky, self.rng, [*hosts], lambda h: [self.maker(h)])
+        self.sent = 0
+        self.acked = 0
+        self.contents: dict[int, set[bytes]] = {}
+        self.in_force: dict[int, bytes] = {}
+        self.held: dict[object, int] = {}
+        self.broken: AssertionError | None = None
+        self.watch = self.loop.create_task(self.watching())
+
+    def maker(self, host: str):
+        def make(net, disk, clock, rng):
+            seeds = tuple((h, PORT) for h in self.seeds)
+            return Watched(self, Place((host, PORT), seeds, self.first), net, disk, clock, rng)
+
+        return make
+
+    def do(self, work):
+        return self.loop.run_until_complete(work)
+
+    def wait(self, seconds: float) -> None:
+        self.do(asyncio.sleep(seconds))
+        if self.watch.done():
+            self.watch.result()
+
+    def start(self, *but: str) -> None:
+        async def all_() -> None:
+            for host, machine in self.machines.items():
+                if host not in but and not machine.up:
+                    machine.start()
+
+        self.do(all_())
+
+    async def watching(self) -> None:
+        while True:
+            self.check()
+            if self.broken:
+                raise self.broken
+            await asyncio.sleep(0.02)
+
+    def check_soon(self) -> None:
+        """Checks at once; a failure is raised when the story goes on."""
+        try:
+            self.check()
+        except AssertionError as error:
+            self.broken = error
+
+    def granaries(self) -> list[tuple[Machine, Granary]]:
+        return [(m, g) for m in self.machines.values() if m.runs for g in m.programs if g._desk]
+
+    def check(self) -> None:
+        """No two serve; what is in force was sent, has one content for good, and nothing goes back."""
+        serving = [g for _, g in self.granaries() if g.tenure.lease_left(g.clock()) > 0.0]
+        assert len(serving) <= 1, f"two serve at {self.loop.time()}"
+        assert all(g.tenure.version >= self.acked for g in serving), "an acknowledged version is lost"
+        for _, granary in self.granaries():
+            version, data = granary.tenure.version, granary.tenure.data
+            if version:
+                assert data in self.contents[version]
+                assert self.in_force.setdefault(version, data) == data
+            assert self.held.get(granary, 0) <= version
+            self.held[granary] = version
+
+    def primary(self) -> Machine:
+        found = self.primary_now()
+        assert found is not None, "nobody serves"
+        return found
+
+    def primary_now(self) -> Machine | None:
+        return next((m for m, g in self.granaries() if g.tenure.lease_left(g.clock()) > 0.0), None)
+
+    def whom(self, words: str) -> Machine:
+        view = self.primary().programs[0].tenure.record.view
+        voters = [m.address[0] for m in view.voters]
+        named = {"the primary": view.primary.address[0], "the backup": view.backup.address[0]}
+        rest = [h for h in voters if h not in named.values()]
+        named |= {"a voter": rest[0], "a stand-by": next(h for h in self.machines if h not in voters)}
+        return self.machines[named[words]]
+
+    async def put(self, host: str, version: int = 0, mark: str = "") -> bool:
+        version = version or self.sent + 1
+        self.sent = max(self.sent, version)
+        data = f"{version} {mark}".encode()
+        self.contents.setdefault(version, set()).add(data)
+        answer = await self.air.call((host, PORT), "put", {"version": version, "data": data}, 1.0)
+        if answer.is_ok():
+            assert answer.ok["version"] >= version
+            self.acked = max(self.acked, answer.ok["version"])
+        return answer.is_ok()
+
+    async def put_within(self, seconds: float, but: tuple[str, ...] = ()) -> bool:
+        """Whether a change is acknowledged in time, by whichever machine is asked; each try is sent anew."""
+        until = self.loop.time() + seconds
+        while self.loop.time() < until:
+            hosts = [h for h, m in self.machines.items() if m.up and h not in but]
+            if await self.put(self.rng.choice(hosts)):
+                return self.loop.time() <= until
+            await asyncio.sleep(0.02)
+        return False
+
+    async def newest(self) -> int:
+        for _ in range(100):
+            hosts = [h for h, m in self.machines.items() if m.up]
+            acked = self.acked
+            answer = await self.air.call((self.rng.choice(hosts), PORT), "read", {}, 1.0)
+            if answer.is_ok():
+                assert answer.ok["version"] >= acked, "an acknowledged version is lost"
+                assert answer.ok["data"] in self.contents[answer.ok["version"]]
+                return answer.ok["version"]
+            await asyncio.sleep(0.05)
+        raise AssertionError("nobody answers a question")
+
+    def close(self) -> None:
+        try:
+            self.check()
+            if self.broken:
+                raise self.broken
+            if self.watch.done():
+                self.watch.result()
+        finally:
+            self.loop.close()
+
+
+class Watched(Granary):
+    """One that is looked at as it begins to serve, before it takes anything new."""
+
+    def __init__(self, world: World, *parts) -> None:
+        super().__init__(*parts)
+        self.world = world
+
+    def _crown(self) -> None:
+        before = self.tenure.reign
+        super()._crown()
+        if self.tenure.reign and not before:
+            self.world.check_soon()
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    made.close()
+
+
+@given("a core that has just started")
+def _(world):
+    world.start()
+
+
+@given("a core whose second seed doesn't start")
+def _(world):
+    world.start(HOSTS[1])
+
+
+@given("a core at work", target_fixture="old")
+def _(world):
+    world.start()
+    world.wait(2.0)
+    world.first = False
+    assert world.do(world.put_within(0.5))
+    return world.primary()
+
+
+@when(parsers.parse("{seconds:g} s pass"))
+def _(world, seconds):
+    world.wait(seconds)
+
+
+@when("the primary is killed")
+def _(old):
+    old.kill()
+
+
+async def _into_a_change(world, ms, then):
+    change = asyncio.create_task(world.put(world.primary().host))
+    await asyncio.sleep(ms / 1000)
+    then()
+    return change
+
+
+@when(parsers.parse("the primary is killed {ms:d} ms into a change"))
+def _(world, old, ms):
+    world.do(_into_a_change(world, ms, old.kill))
+
+
+@when(parsers.parse("the primary is frozen {ms:d} ms into a change"), target_fixture="change")
+def _(world, old, ms):
+    return world.do(_into_a_change(world, ms, old.freeze))
+
+
+@when("the primary thaws")
+def _(world, old):
+    world.do(asyncio.sleep(0))
+    world.loop.call_soon(old.thaw)
+    world.check()
+
+
+@then("the change that froze with it was not acknowledged")
+def _(world, change):
+    assert world.do(change) is False
+
+
+@then("the old primary acknowledges nothing for its own part")
+def _(world, old):
+    assert not old.programs[0].tenure.writes(old.programs[0].clock())
+    world.wait(0.5)
+    assert not old.programs[0].tenure.writes(old.programs[0].clock())
+
+
+@when(
+    parsers.re("a change is acknowledged and all (machines lose power|processes are killed) for (?P<s>.*) s")
+)
+def _(world, request, s, step_text="x"):
+    _all_down(world, float(s), None)
+
+
+@when(
+    parsers.parse(
+        "a change is acknowledged, all machines lose power for {s:g} s and the disk of {whom} is empty"
+    )
+)
+def _(world, s, whom):
+    _all_down(world, s, world.whom(whom))
+
+
+def _all_down(world, seconds, wiped):
+    async def down() -> None:
+        assert await world.put_within(0.5)
+        for machine in world.machines.values():
+            machine.power_off(wipe=machine is wiped)
+
+    world.do(down())
+    world.wait(seconds)
+    world.start()
+
+
+@when("the primary is cut off from all others")
+def _(world, old):
+    world.sky.apart([old.host], [h for h in HOSTS if h != old.host])
+
+
+@when("the primary and the stand-by are cut off from the others")
+def _(world, old):
+    side = [old.host, world.whom("a stand-by").host]
+    world.sky.apart(side, [h for h in HOSTS if h not in side])
+
+
+@when("nothing comes through to the primary")
+def _(world, old):
+    for host in HOSTS:
+        world.sky.cut(host, old.host, both=False)
+
+
+@when("the cut is mended")
+def _(world):
+    world.sky.mend()
+
+
+@then("the old primary acknowledges nothing")
+def _(world, old):
+    assert not world.do(world.put(old.host))
+
+
+@then(parsers.parse("a change is acknowledged within {s:g} s"))
+def _(world, s):
+    assert world.do(world.put_within(s))
+
+
+@then(parsers.parse("a change is acknowledged within {s:g} s by the others"))
+def _(world, old, s):
+    assert world.do(world.put_within(s, (old.host,)))
+
+
+@then("nothing acknowledged is lost")
+def _(world):
+    assert world.do(world.newest()) >= world.acked
+
+
+@then(parsers.parse("all machines hold the newest acknowledged version within {s:g} s"))
+def _(world, s):
+    world.wait(s)
+    assert {g.tenure.version for _, g in world.granaries()} == {world.acked}
+
+
+@when("the backup loses power")
+def _(world):
+    world.whom("the backup").power_off()
+
+
+@when(parsers.re("the disk of (?P<whom>.*) (?P<trouble>hangs|refuses|is slow)"))
+def _(world, whom, trouble):
+    platter = world.whom(whom).platter
+    platter.hangs, platter.refuses = trouble == "hangs", trouble == "refuses"
+    platter.slower = 60.0 if trouble == "is slow" else 1.0
+
+
+@when("the primary is told to stop")
+def _(world, old):
+    world.loop.create_task(old.leave())
+
+
+@when("the machines are exchanged one after the other for new ones")
+def _(world):
+    new = [f"10.{zone}.0.2" for zone in range(1, 5)]
+    world.old_hosts, world.seeds = [*HOSTS], new[:3]
+    fresh = machines(world.sky, world.rng, new, lambda h: [world.maker(h)])
+    for gone, come in zip(HOSTS, new, strict=True):
+        # a new machine knows one seed that is there before it and two that may not be
+        world.seeds = [come, *[h for h in HOSTS if world.machines[h].up][:2], *new[:1]][:3]
+        world.machines[come] = fresh[come]
+        world.start(*[h for h in HOSTS if not world.machines[h].up])
+        world.wait(1.0)
+        world.do(world.machines[gone].leave())
+        world.wait(3.0)
+        assert world.do(world.put_within(0.5))
+
+
+@when("the old machines come back")
+def _(world):
+    world.start()
+
+
+@then("only new machines vote")
+def _(world):
+    view = world.primary().programs[0].tenure.record.view
+    assert all(h.endswith(".2") for h in (m.address[0] for m in view.named().values()))
+    assert len(view.voters) == 3
+
+
+@given("a store on a real disk with one record", target_fixture="shelf")
+def _(world, tmp_path):
+    shelf = Shelf(tmp_path / "granary")
+    with asyncio.Runner() as runner:
+        assert runner.run(shelf.load()) == {}
+        runner.run(shelf.save({"vote": b"1", "member": b"a" * 9000}))
+        shelf.close()
+        again = Shelf(tmp_path / "granary")
+        assert runner.run(again.load()) == {"vote": b"1", "member": b"a" * 9000}
+        again.close()
+    return tmp_path / "granary"
+
+
+@when("its database is overwritten")
+def _(shelf):
+    file = shelf / "data.mdb"
+    file.write_bytes(b"torn" * (file.stat().st_size // 4))
+
+
+@then("it loads as an empty disk and can be written again")
+def _(shelf):
+    with asyncio.Runner() as runner:
+        again = Shelf(shelf)
+        assert runner.run(again.load()) == {}
+        runner.run(again.save({"vote": b"2"}))
+        assert runner.run(again.load()) == {"vote": b"2"}
+        again.close()
+
+
+@when("the backup hears nothing from the primary, whose disk is lost after an acknowledgement with all power")
+def _(world, old):
+    world.sky.cut(old.host, world.whom("the backup").host)
+
+    async def lose() -> None:
+        assert await world.put_within(3.0)
+        for machine in world.machines.values():
+            machine.power_off(wipe=machine is old)
+
+    world.do(lose())
+    world.sky.mend()
+    world.start()
+
+
+@when(parsers.parse("all are killed, and the primary stays away, the backup for {s:g} s"))
+def _(world, old, s):
+    backup = world.whom("the backup")
+    for machine in world.machines.values():
+        machine.kill()
+    world.start(old.host, backup.host)
+    world.wait(s)
+    world.start(old.host)
+
+
+# --- the rules of one member
+
+MEMBERS = tuple(Member(i, (h, PORT)) for i, h in zip("abcd", HOSTS, strict=True))
+A, B, C, D = MEMBERS
+VIEW = View(3, A, B, (A, B, C))
+
+
+def member(me: Member, now: float = 0.0) -> Tenure:
+    """A member in VIEW that holds version 7, started at `now`."""
+    record = Record(me.id, True, 3, VIEW, 7, b"seven", 3)
+    return Tenure(me, tuple(m.address for m in MEMBERS[:3]), record, now, Random(1))
+
+
+def test_a_backup_writes_nothing_older_than_what_it_has():
+    for stale in ((2, 8, b"eight"), (3, 6, b"six"), (3, 7, b"other")):
+        with pytest.raises(Refused):
+            member(B).keep(stale[0], "a", *stale[1:])
+    assert member(B).keep(3, "a", 7, b"seven").version == 7
+    assert member(B).keep(4, "c", 6, b"six").written == 4
+
+
+def test_who_hands_out_its_data_takes_nothing_more_of_that_epoch():
+    tenure = member(B)
+    tenure.fetch(5, "c")
+    with pytest.raises(Refused):
+        tenure.keep(3, "a", 8, b"eight")
+    with pytest.raises(Refused):
+        tenure.install(VIEW)
+    with pytest.raises(Refused):
+        tenure.fetch(4, "d")
+    assert tenure.on_beat(9.0, member(A).beat(9.0, B.address))["granted"] == 0
+    primary = member(A)
+    primary.on_grant("c", 3, 9.0)
+    assert primary.leads(9.1)
+    primary.fetch(5, "c")
+    assert not primary.leads(9.1)
+
+
+def test_a_voter_promises_nobody_else_while_a_grant_may_stand():
+    tenure = member(C, now=10.0)
+    assert not tenure.may_promise(10.0 + HOLD - 0.01, 4, "b", 0)  # of an earlier life
+    assert tenure.may_promise(10.1, 4, "a", 0) and tenure.may_promise(10.1, 4, "b", 3)
+    assert tenure.may_promise(10.0 + HOLD, 4, "b", 0) and not tenure.may_promise(12.0, 3, "b", 0)
+    assert tenure.on_beat(20.0, member(A).beat(20.0, C.address))["granted"] == 3
+    assert not tenure.may_promise(20.0 + HOLD - 0.01, 4, "b", 0)
+    assert tenure.may_promise(20.0 + HOLD, 4, "b", 0)
+    stranger = member(Member("x", A.address))
+    assert tenure.on_beat(30.0, stranger.beat(30.0, C.address))["granted"] == 0
+
+
+def test_a_primary_serves_only_what_its_backup_has_and_while_its_lease_lasts():
+    tenure = member(A)
+    tenure.on_grant("c", 2, 5.0)
+    assert not tenure.leads(5.1)
+    tenure.on_grant("c", 3, 5.0)
+    assert tenure.leads(5.1) and not tenure.crown(5.1) and tenure.lease_left(5.1) == 0.0
+    tenure.settled = 3
+    assert tenure.crown(5.1) and tenure.version == 7 and tenure.writes(5.0 + LEASE - 0.01)
+    assert not tenure.may_promise(5.0 + LEASE - 0.01, 4, "b", 0)
+    tenure.promise(5.2, 4, "a", 0)  # a change of its own view begins: it serves on, but writes nothing
+    assert tenure.lease_left(5.3) > 0.0 and not tenure.writes(5.3)
+    assert tenure.lease_left(5.0 + LEASE) == 0.0 and not tenure.writes(5.0 + LEASE)
+
+
+def test_a_changed_view_needs_both_sets_of_voters():
+    changed = View(4, A, B, (A, B, D), (A, B, C))
+    assert not changed.agreed({"b", "d"}) and not changed.agreed({"a", "c"}) and changed.agreed({"a", "b"})
+    assert changed.agreed({"b", "c", "d"}) and VIEW.agreed({"a", "c"})
+    with pytest.raises(Refused):
+        member(C).mine("b")
+
+
+# --- random faults
+
+
+async def _operate(world: World, name: str, rng: Random) -> None:
+    """Puts versions that sometimes are another operator's too, at any machine."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.02, 0.5))
+        hosts = [h for h, m in world.machines.items() if m.up] or HOSTS
+        version = max(1, world.sent + rng.choice((0, 1, 1, 1, 2)))
+        await world.put(rng.choice(hosts), version, name)
+
+
+async def _fault(world: World, rng: Random, machine: Machine, alone: bool) -> None:
+    """Something happens to a machine, and is over when this returns."""
+    lasts, others = rng.choice((0.1, 0.6, 1.5, 3.0)), [h for h in world.machines if h != machine.host]
+    kinds = ("kill", "power", "freeze", "cut", "in", "out", "hangs", "refuses", "slow", "leave", "wipe")
+    kind = rng.choice(kinds if alone else kinds[:-1])
+    platter = machine.platter
+    if kind in ("kill", "power", "wipe"):
+        machine.kill() if kind == "kill" else machine.power_off(wipe=kind == "wipe")
+        await asyncio.sleep(lasts)
+        machine.start()
+        if kind == "wipe":
+            await asyncio.sleep(4.0)
+    elif kind == "freeze":
+        machine.freeze()
+        await asyncio.sleep(lasts)
+        machine.thaw()
+    elif kind == "leave":
+        await machine.leave()
+        await asyncio.sleep(lasts)
+        machine.start()
+    elif kind in ("cut", "in", "out"):
+        for other in others:
+            ends = (machine.host, other) if kind == "out" else (other, machine.host)
+            world.sky.cut(*ends, both=kind == "cut")
+        await asyncio.sleep(lasts)
+        world.sky.mend()
+    else:
+        platter.hangs, platter.refuses = kind == "hangs", kind == "refuses"
+        platter.slower = 100.0 if kind == "slow" else 1.0
+        await asyncio.sleep(lasts)
+        platter.hangs, platter.refuses, platter.slower = False, False, 1.0
+
+
+async def _day(world: World, rng: Random) -> None:
+    for machine in world.machines.values():
+        machine.start()
+    world.first = rng.random() < 0.5  # seldom it is still said to be the first start
+    await asyncio.sleep(1.5)
+    world.first = False
+    operators = [asyncio.create_task(_operate(world, n, rng)) for n in ("ann", "bob")]
+    for _ in range(6):
+        if rng.random() < 0.25:
+            for machine in world.machines.values():
+                machine.kill() if rng.random() < 0.5 else machine.power_off()
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            for machine in world.machines.values():
+                machine.start()
+        else:
+            # a disk is lost only while all else is well; other troubles may meet
+            struck = rng.sample([*world.machines.values()], rng.choice((1, 1, 2)))
+            if rng.random() < 0.6 and (first := world.primary_now()):
+                struck = [first, *struck[1:]] if first not in struck[1:] else struck
+            await asyncio.gather(*(_fault(world, rng, m, len(struck) == 1) for m in struck))
+        await asyncio.sleep(rng.choice((0.05, 0.5, 2.0, 4.0)))
+    await asyncio.sleep(5.0)
+    for operator in operators:
+        operator.cancel()
+    bound = 4.0 if world.sky.lost or world.sky.slow else 0.3
+    assert await world.put_within(bound), "calm, and nothing is acknowledged"
+    assert await world.newest() >= world.acked
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_random_faults_lose_nothing(seed):
+    world = World(seed, (*HOSTS, "10.5.0.1")[: 3 + seed % 3])
+    world.do(_day(world, Random(seed + 1000)))
+    world.close()
