--- a/loomstand/weather/town.py
+++ b/loomstand/weather/town.py
@@ -276,6 +276,16 @@
     def core(self, ip: str) -> tuple[Host, Host]:
         return self.nurseries[ip], self.stores[ip]
 
+    async def going_back(self) -> None:
+        """Looks all the while that no proxy takes a lower version in its life."""
+        held: dict[Proxy, int] = {}
+        while True:
+            for stile in self.all_stiles():
+                version = stile.table.version if stile.table else 0
+                assert held.get(stile, 0) <= version, f"{stile.conf.node_name} went back"
+                held[stile] = version
+            await asyncio.sleep(0.02)
+
     # the configuration
 
     def route(self, name: str, service: str, kind: str = "idempotent", **more: Any) -> None:
