--- a/loomstand/brain/fleet.py
+++ b/loomstand/brain/fleet.py
@@ -169,12 +169,12 @@
     def dispatch(self, job: Job[Account], srv: Server) -> None:
         now, row, expire = self.loop.now, self.rows[job.note.frontend], job.note.give_up
         if not job.sent:  # a first dispatch earns a share of a further one
-            s = self.loop.settings
-            self.spare = min(s.spare_most, self.spare + s.spare_share)
+            self.spare = min(self.loop.settings.spare_most, self.spare + self.loop.settings.spare_share)
         if row.front.effect is Effect.REPLAYABLE and len(job.sent) + 1 < job.tries:
             # three times what nearly all answers take: whoever is silent so long leaves time for another
             wait = 3 * row.times.quantile(0.97, row.target / 4)
-            if now + wait + row.times.mean(row.target / 4, 1) < job.target:
+            until = job.note.give_up if self.loop.settings.patient else job.target
+            if now + wait + row.times.mean(row.target / 4, 1) < until:
                 expire = min(expire, now + round(wait))
         self.flying[job.note.req, len(job.sent)] = now
         if self.guide:
--- /dev/null
+++ b/loomstand/granary/bid.py
@@ -0,0 +1,67 @@
+"""What decides a campaign, without its calls: whose promises, whose data, which view.
+
+Apart from campaign.py so that the surveyor drives these very decisions through all orders of events.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from loomstand.granary.tenure import VOTERS, Plan, Tenure
+from loomstand.granary.views import Member, View
+
+Held = tuple[int, bytes]  # a version and its data
+
+
+@dataclass(frozen=True, slots=True)
+class Bid:
+    plan: Plan
+    base: View | None  # which the new view is to follow; None for the first of all
+
+    def outdated(self, tenure: Tenure) -> bool:
+        """Whether a view newer than the base has shown up: its electors must be asked, not the base's."""
+        known = tenure.base()
+        return known is not None and (self.base is None or known.epoch > self.base.epoch)
+
+    def electors(self, tenure: Tenure) -> list[Member]:
+        if self.base is not None:
+            return list(self.base.electors().values())
+        peers = ((a, tenure.peers.get(a)) for a in tenure.seeds)
+        return [Member(p.id, a) for a, p in peers if p is not None and p.id and p.founder]
+
+    def agreed(self, tenure: Tenure, ids: Collection[str]) -> bool:
+        """Whether the promises of `ids` are enough."""
+        if self.base is not None:
+            return self.base.agreed(ids)
+        return len(ids) * 2 > len(tenure.seeds)
+
+    def won(self, tenure: Tenure, ids: Collection[str]) -> bool:
+        return not self.outdated(tenure) and self.agreed(tenure, ids)
+
+    def own(self, tenure: Tenure) -> Held | None:
+        """What this member holds of the base by itself; None if it has to be fetched."""
+        if self.base is None:
+            return 0, b""
+        return (tenure.record.version, tenure.record.data) if self.base.holds(tenure.me.id) else None
+
+    def sources(self) -> list[Member]:
+        """Whom to ask for the data, in this order; the first answer will do."""
+        both = (self.base.backup, self.base.primary) if self.base else ()
+        return [m for m in both if m is not None]
+
+    def prevails(self, tenure: Tenure, held: Held | None) -> Held | None:
+        """What the view before had in force, or may have."""
+        if held is not None and tenure.version > held[0]:
+            return tenure.version, tenure.data  # both disks lost it, but it was in force
+        return held
+
+    def view(self, tenure: Tenure, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
+        """The view to install once `backup` has the data."""
+        voters = self.plan.voters if self.base else self._founders(tenure, promised)
+        return View(epoch, tenure.me, backup, voters, self.plan.former)
+
+    def _founders(self, tenure: Tenure, promised: Collection[str]) -> tuple[Member, ...]:
+        seeds = [m for m in self.electors(tenure) if m.id in promised]
+        seeds.sort(key=lambda m: m.address)
+        return (tenure.me, *seeds[: VOTERS - 1])
--- a/loomstand/granary/campaign.py
+++ b/loomstand/granary/campaign.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from absl import logging
 
+from loomstand.granary.bid import Bid, Held
 from loomstand.granary.desk import Desk
-from loomstand.granary.tenure import FOUNDING, VOTERS, Plan, Step
-from loomstand.granary.views import Member, View
+from loomstand.granary.tenure import FOUNDING, Plan, Step
+from loomstand.granary.views import Member
 from loomstand.orchard.verdict import Verdict
 
 ROUNDS = 3  # views that may turn out to be newer in one campaign
@@ -32,7 +32,7 @@
             if desk.tenure.me.id not in base.named():
                 return False
             plan = Plan(plan.step, plan.why, base.voters, base.former)
-        found = await Campaign(desk, plan, base, release).run()
+        found = await Campaign(desk, Bid(plan, base), release).run()
         if found is not None or plan.step is not Step.TAKE:
             return bool(found)
     return False
@@ -41,14 +41,13 @@
 @dataclass(slots=True)
 class Campaign:
     desk: Desk
-    plan: Plan
-    base: View | None  # which this one is to follow; None for the first of all
+    bid: Bid
     release: Release | None
     promised: set[str] = field(default_factory=set)
 
     async def run(self) -> bool | None:
         """Whether it came off; None if a newer view has shown up."""
-        tenure, moves = self.desk.tenure, self.plan.step is Step.MOVE
+        tenure, plan, moves = self.desk.tenure, self.bid.plan, self.bid.plan.step is Step.MOVE
         if not moves:
             tenure.resign()
             if self.release is None and not await self._would():
@@ -64,8 +63,7 @@
         found, backup = await self._backup(epoch, version, data)
         if not found:
             return False
-        voters = self.plan.voters if self.base else self._founders(backup)
-        view = View(epoch, tenure.me, backup, voters, self.plan.former)
+        view = self.bid.view(tenure, epoch, backup, self.promised)
         tenure.settled = epoch
         await self.desk.ink(lambda now: tenure.install(view))
         tenure.renew(self.desk.clock(), view)
@@ -75,24 +73,11 @@
         )
         if not tenure.leads(self.desk.clock()):
             return False
-        logging.info("granary: %s, as %s: %s", self.plan.step.value, self.plan.why, view)
+        logging.info("granary: %s, as %s: %s", plan.step.value, plan.why, view)
         return True
 
     def _newer(self) -> bool:
-        known = self.desk.tenure.base()
-        return known is not None and (self.base is None or known.epoch > self.base.epoch)
-
-    def _electors(self) -> list[Member]:
-        tenure = self.desk.tenure
-        if self.base is not None:
-            return list(self.base.electors().values())
-        peers = ((a, tenure.peers.get(a)) for a in tenure.seeds)
-        return [Member(p.id, a) for a, p in peers if p is not None and p.id and p.founder]
-
-    def _agreed(self, ids: Collection[str]) -> bool:
-        if self.base is not None:
-            return self.base.agreed(ids)
-        return len(ids) * 2 > len(self.desk.tenure.seeds)
+        return self.bid.outdated(self.desk.tenure)
 
     async def _would(self) -> bool:
         """Whether enough of them would promise: a member that is cut off mustn't raise epochs in vain."""
@@ -102,12 +87,12 @@
             return False
         body = {"epoch": 0, "released": 0}
         answers = await self.desk.poll(
-            self._electors(),
+            self.bid.electors(tenure),
             body,
-            lambda a: self._newer() or self._agreed([tenure.me.id, *(i for i in a if a[i]["ok"])]),
+            lambda a: self._newer() or self.bid.agreed(tenure, [tenure.me.id, *(i for i in a if a[i]["ok"])]),
         )
         self._top(answers)
-        return not self._newer() and self._agreed([tenure.me.id, *(i for i in answers if answers[i]["ok"])])
+        return self.bid.won(tenure, [tenure.me.id, *(i for i in answers if answers[i]["ok"])])
 
     def _top(self, answers: dict[str, dict]) -> None:
         tenure = self.desk.tenure
@@ -123,7 +108,7 @@
             sure.add(release.by)
         released = release.under if release else 0
         await self.desk.ink(lambda now: tenure.promise(now, epoch, tenure.me.id, released))
-        electors = [m for m in self._electors() if m.id not in sure]
+        electors = [m for m in self.bid.electors(tenure) if m.id not in sure]
 
         def ids(answers: dict[str, dict]) -> set[str]:
             return sure | {i for i, a in answers.items() if a["ok"]}
@@ -132,45 +117,32 @@
             electors,
             {"epoch": epoch, "released": released},
             # a founder would rather have all seeds, so that they all vote from the start
-            lambda a: self._newer() or (self.base is not None and self._agreed(ids(a))),
+            lambda a: self._newer() or (self.bid.base is not None and self.bid.agreed(tenure, ids(a))),
         )
         self._top(answers)
         self.promised = ids(answers)
         early = self.desk.clock() < tenure.started + FOUNDING
-        if self.base is None and early and len(self.promised) < len(tenure.seeds):
+        if self.bid.base is None and early and len(self.promised) < len(tenure.seeds):
             return None  # two voters could lose neither: rather once more, while there's time
-        return epoch if not self._newer() and self._agreed(ids(answers)) else None
+        return epoch if self.bid.won(tenure, self.promised) else None
 
-    async def _data(self, epoch: int) -> tuple[int, bytes] | None:
+    async def _data(self, epoch: int) -> Held | None:
         """What the view before had in force, or may have: of its primary or its backup, the backup first."""
-        tenure, base = self.desk.tenure, self.base
-        held: tuple[int, bytes] | None = None
-        if base is None:
-            held = (0, b"")
-        elif base.holds(tenure.me.id):
-            held = (tenure.record.version, tenure.record.data)
-        else:
-            for member in (base.backup, base.primary):
-                if held is None and member is not None:
-                    body = {"epoch": epoch, "asker": tenure.me.id}
-                    answer = await self.desk.ask(member, "fetch", body)
-                    if not isinstance(answer, Verdict):
-                        held = (answer["version"], answer["data"])
-        if held is not None and tenure.version > held[0]:
-            held = (tenure.version, tenure.data)  # both disks lost it, but it was in force
-        return held
+        tenure = self.desk.tenure
+        held = self.bid.own(tenure)
+        for member in self.bid.sources():
+            if held is None:
+                answer = await self.desk.ask(member, "fetch", {"epoch": epoch, "asker": tenure.me.id})
+                if not isinstance(answer, Verdict):
+                    held = (answer["version"], answer["data"])
+        return self.bid.prevails(tenure, held)
 
     async def _backup(self, epoch: int, version: int, data: bytes) -> tuple[bool, Member | None]:
         """Who has written the configuration, and whether that will do: a core of one machine needs nobody."""
         tenure = self.desk.tenure
-        for member in tenure.backups(self.desk.clock(), self.base):
+        for member in tenure.backups(self.desk.clock(), self.bid.base):
             failed = await self.desk.keep(member, epoch, version, data)
             if failed is None:
                 return True, member
             tenure.doubt(self.desk.clock(), member)
-        return self.base is None and len(tenure.seeds) == 1, None
-
-    def _founders(self, backup: Member | None) -> tuple[Member, ...]:
-        seeds = [m for m in self._electors() if m.id in self.promised]
-        seeds.sort(key=lambda m: m.address)
-        return (self.desk.tenure.me, *seeds[: VOTERS - 1])
+        return self.bid.base is None and len(tenure.seeds) == 1, None
--- a/loomstand/granary/program.py
+++ b/loomstand/granary/program.py
@@ -82,7 +82,9 @@
         beat = -1e9
         while not self.stopped.is_set():
             now = self.clock()
-            if now - beat >= BEAT - TICK / 2:
+            # after a start of all, whoever is primary by its disk asks for the lease as others come up
+            eager = tenure.owns() and not tenure.leads(now)
+            if now - beat >= (TICK if eager else BEAT) - TICK / 2:
                 beat = now
                 self._beats()
             self._tick(now)
@@ -132,8 +134,7 @@
         match result:
             case Result(tag="ok", ok=answer):
                 peer = tenure.on_answer(self.clock(), sent, answer)
-                self._crown()
-                self._bump()
+                self._tick(self.clock())  # what is due by this answer needn't wait for the next look
                 view, member = tenure.record.view, Member.read(answer["member"])
                 if view and tenure.owns() and peer.epoch < view.epoch and member.id in view.named():
                     await self.desk.install(member, view)
--- a/loomstand/interface.py
+++ b/loomstand/interface.py
@@ -114,6 +114,7 @@
     turned_price: float = 0.2  # of a further dispatch where one was turned away, and none may have run
     unsent_price: float = 0.2  # where nothing arrived at any server
     window_follows: bool = False  # the window goes with the number of a service's servers
+    patient: bool = False  # a silent server is given up for another until the client goes, not the target
     far: float = 1.05  # what a server of another hall costs, beside one of the own
     window_more: float = 0.0  # dispatches out beside the window: where it is a few, chance alone brings them
 
--- a/loomstand/stile/asked.py
+++ b/loomstand/stile/asked.py
@@ -15,9 +15,10 @@
 
 
 class Asked(Req):
-    """A request with its route. `got` is the last whole answer of a server; `ran` whether it may have run."""
+    """A request with its route. `got` is the last whole answer of a server; `ran` whether it may have run;
+    `afresh` whether it goes by new connections only."""
 
-    __slots__ = ("got", "hops", "key", "late", "ran", "request_id", "route", "tenant", "wait")
+    __slots__ = ("afresh", "got", "hops", "key", "late", "ran", "request_id", "route", "tenant", "wait")
 
     def __init__(self, machine: RequestReceiver) -> None:
         """What is no proper request is a 400."""
@@ -39,7 +40,7 @@
         self.route: Route | None = None
         self.tenant: Tenant | None = None
         self.got: tuple[int, bytes, str] | None = None
-        self.ran = self.late = False
+        self.ran = self.late = self.afresh = False
 
     @property
     def host(self) -> bytes:
--- a/loomstand/stile/lanes.py
+++ b/loomstand/stile/lanes.py
@@ -6,13 +6,14 @@
 
 from loomstand.interface import Outcome
 from loomstand.net.endings import Ending
-from loomstand.net.req import HOP_FIELDS
+from loomstand.net.req import HOP_FIELDS, Flight
 from loomstand.net.servers import Link, Pool
 
 STAYS = re.compile(rb"timeout=([0-9]{1,6})").search
 # A server's idle close and our next request may cross on the way; of a request that can't be repeated nothing
 # is left then. The stated time is in whole seconds, so it may be rounded.
 MARGIN = 1.0
+BROKEN = {Ending.CLOSED, Ending.RESET}
 UNSTATED = 4.0  # seconds that a connection is kept where the server states nothing: those seen keep ten
 
 
@@ -60,8 +61,28 @@
         req.got = (status, body, extra)
         limiter.came(flight, Outcome.SERVER_ERROR if status >= 500 else Outcome.PASSED)
 
+    def ended(self, why: Ending) -> None:
+        if self.flight is not None and self.idle_at and why in BROKEN:
+            self.pool.forgotten(self)
+        super().ended(why)
+
 
 class Lanes(Pool):
     """Connections to all servers."""
 
     link = Lane
+
+    def send(self, flight: Flight) -> None:
+        """A request that was lost on a kept connection goes on by a new one."""
+        kept = self.idle.pop(flight.srv, None) if flight.req.afresh else None
+        super().send(flight)
+        if kept is not None:
+            self.idle[flight.srv] = kept + self.idle.get(flight.srv, [])
+
+    def forgotten(self, lane: Lane) -> None:
+        """What was sent on a kept connection broke it. Servers may forget idle connections without a word,
+        and many at once: those that were idle longer aren't used again, and the request's other tries, which
+        are few, meet no other one that was kept."""
+        lane.flight.req.afresh = True
+        for other in [v for v in self.idle.get(lane.srv, ()) if v.idle_at <= lane.idle_at]:
+            self.shut(other, Ending.IDLE)
--- a/loomstand/stile/terms.py
+++ b/loomstand/stile/terms.py
@@ -93,7 +93,7 @@
             tip_after=0, answer_slack=0,
             trust=TRUST, fresh=FRESH, spare_share=RATIO_SHARE * b.retry_budget_ratio,
             spare_most=max(1.0, SLACK_SHARE * b.budget_slack / fleet.all), spare_first=1.0, turned_price=1.0,
-            unsent_price=0.0, window_follows=True, window_more=CHANCE, far=FAR,
+            unsent_price=0.0, window_follows=True, window_more=CHANCE, patient=True, far=FAR,
         )  # fmt: skip
 
 
