--- /dev/null
+++ b/loomstand/surveyor/mutants.py
@@ -0,0 +1,145 @@
+"""Steps left out, one at a time: the surveyor is worth something only if it finds every one of them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, replace
+from typing import Any
+
+from loomstand.granary.bid import Bid
+from loomstand.granary.tenure import Tenure
+from loomstand.granary.views import Member, Record, View
+from loomstand.orchard.verdict import Refused
+from loomstand.surveyor.land import Bounds
+from loomstand.surveyor.plot import Rules
+
+
+class KeepsOld(Tenure):
+    """Takes an old primary's write after it has promised a newer epoch."""
+
+    def keep(self, epoch: int, asker: str, version: int, data: bytes) -> Record:
+        self._raise(epoch, asker)
+        return replace(self.record, promised=self.promised, version=version, data=data, written=epoch)
+
+
+class KeepsEarlier(Tenure):
+    """Within an epoch takes a write that was overtaken by a later one."""
+
+    def keep(self, epoch: int, asker: str, version: int, data: bytes) -> Record:
+        if epoch < self.promised:
+            raise Refused("a newer epoch")
+        self._raise(epoch, asker)
+        return replace(self.record, promised=epoch, version=version, data=data, written=epoch)
+
+
+class Forgets(Tenure):
+    """Promises while a grant of its own stands."""
+
+    def may_promise(self, now: float, epoch: int, asker: str, released: int) -> bool:
+        return epoch > self.promised
+
+
+class ForgetsEarlierLife(Tenure):
+    """Promises right after a start, while what it granted before may stand."""
+
+    def may_promise(self, now: float, epoch: int, asker: str, released: int) -> bool:
+        was, self.started = self.started, -1e9
+        may = Tenure.may_promise(self, now, epoch, asker, released)
+        self.started = was
+        return may
+
+
+class LeasesFromReceipt(Tenure):
+    """Counts a lease from the answer, not from when it asked."""
+
+    def on_grant(self, id: str, epoch: int, sent: float) -> None:
+        Tenure.on_grant(self, id, epoch, 0.0)
+
+
+class InstallsOld(Tenure):
+    """Installs a view, and grants its lease, after it has promised a newer epoch."""
+
+    def install(self, view: View) -> Record:
+        if self.me.id not in view.named():
+            raise Refused("not its view")
+        return replace(self.record, promised=view.epoch, view=view)
+
+    def renew(self, now: float, view: View) -> None:
+        self.holder, self.hold = view.primary.id, now + 1.25
+
+
+class AnyDisk(Tenure):
+    """Answers what was asked of the disk that was there before."""
+
+    def mine(self, to: str) -> None:
+        pass
+
+
+class Alone(Bid):
+    """Installs a view without a majority's promises."""
+
+    def agreed(self, tenure: Tenure, ids: Collection[str]) -> bool:
+        return True
+
+
+class AtOneGo(Bid):
+    """Changes the voters without the agreement of those before."""
+
+    def view(self, tenure: Tenure, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
+        return replace(Bid.view(self, tenure, epoch, backup, promised), former=())
+
+
+class Anybody(Bid):
+    """Takes what it has itself for what is in force, whoever it is."""
+
+    def own(self, tenure: Tenure) -> tuple[int, bytes] | None:
+        return tenure.record.version, tenure.record.data
+
+    def sources(self) -> list[Member]:
+        return []
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    rules: Rules
+    bounds: Bounds  # within which it's found
+    breaks: str  # the invariants, of which the shortest trace breaks one
+    brief: bool = True  # found within a few seconds, so that a test can wait for it
+
+
+def brief(*kinds: str, **bounds: Any) -> Bounds:
+    """Bounds just wide enough for one mutant."""
+    least: dict[str, Any] = {
+        "epochs": 2,
+        "versions": 1,
+        "faults": 1,
+        "wipes": 0,
+        "yields": 0,
+        "halves": False,
+    }
+    return Bounds(kinds=frozenset(kinds), **least | bounds)
+
+
+MUTANTS = {
+    "keeps-old": Mutant(Rules(KeepsOld), brief("late", epochs=3, takers="bc"), "ac"),
+    "keeps-earlier": Mutant(Rules(KeepsEarlier), brief("late", takers="b"), "ac"),
+    "forgets": Mutant(Rules(Forgets), brief("cut", takers="bc"), "b"),
+    "forgets-earlier-life": Mutant(
+        Rules(ForgetsEarlierLife), brief("restart", "lost", faults=2, takers="c", versions=0), "b"
+    ),
+    "leases-from-receipt": Mutant(
+        Rules(LeasesFromReceipt), brief("late", "lost", faults=2, takers="c", halves=True, versions=0), "b"
+    ),
+    "installs-old": Mutant(Rules(InstallsOld), brief("slow", epochs=3, takers="ab"), "a", False),
+    "any-disk": Mutant(Rules(AnyDisk), brief(wipes=1), "d"),
+    "same-id": Mutant(Rules(same_id=True), brief(wipes=1), "d"),
+    "alone": Mutant(Rules(bid=Alone), brief("lost"), "ab"),
+    "at-one-go": Mutant(
+        Rules(bid=AtOneGo),
+        brief("lost", members=4, changes=1, epochs=3, faults=3, takers="ab", versions=0),
+        "b",
+        False,
+    ),
+    "anybody": Mutant(Rules(bid=Anybody), brief(), "a"),
+    "hasty": Mutant(Rules(hasty=True), brief("lost", takers="bc"), "a"),
+}
--- /dev/null
+++ b/loomstand/surveyor/walk.py
@@ -0,0 +1,92 @@
+"""Walks through a land: breadth first through all of it, so that a violation's trace is the shortest."""
+
+from __future__ import annotations
+
+import time
+from array import array
+from dataclasses import dataclass
+
+from loomstand.surveyor.land import Broken, Land, Plain
+
+
+@dataclass(slots=True)
+class Survey:
+    """What a search has seen. `whole`: it ended for want of new states, so all within bounds are known."""
+
+    states: int = 0
+    transitions: int = 0
+    depth: int = 0
+    seconds: float = 0.0
+    whole: bool = False
+    broken: str = ""
+    trace: tuple[str, ...] = ()
+
+
+def survey(land: Land, states: int = 1_000_000, seconds: float = 300.0) -> Survey:
+    """Breadth first, until `states` are known, `seconds` are over, nothing is left or something is broken.
+
+    Of a state only its 64-bit hash is kept: among 10 million the odds that any two are taken for one are
+    3 in a million, and what that hides is one state.
+    """
+    begun, out = time.perf_counter(), Survey(states=1)
+    first = land.first()
+    seen, parents = {hash(first)}, array("q", [-1])
+    hashes = array("q", [hash(first)])
+    level: list[tuple[int, Plain]] = [(0, first)]
+    while level:
+        out.depth += 1
+        coming: list[tuple[int, Plain]] = []
+        for index, state in level:
+            try:
+                for _, after in land.successors(state):
+                    out.transitions += 1
+                    mark = hash(after)
+                    if mark not in seen:
+                        seen.add(mark)
+                        land.check(after)
+                        parents.append(index)
+                        hashes.append(mark)
+                        coming.append((len(parents) - 1, after))
+            except Broken as broken:
+                out.broken = str(broken)
+                out.trace = _trace(land, parents, hashes, index, state)
+                coming = []
+                break
+            if len(parents) >= states or time.perf_counter() - begun > seconds:
+                coming = []
+                break
+        else:
+            level = coming
+            continue
+        break
+    else:
+        out.whole = True
+    out.states, out.seconds = len(parents), time.perf_counter() - begun
+    return out
+
+
+def _trace(land: Land, parents: array[int], hashes: array[int], index: int, last: Plain) -> tuple[str, ...]:
+    """The steps from the first state to a broken one, found again along the hashes."""
+    path: list[int] = []
+    while index > 0:
+        path.append(hashes[index])
+        index = parents[index]
+    state, words = land.first(), list[str]()
+    for mark in reversed(path):
+        step, state = next((s, a) for s, a in land.successors(state) if hash(a) == mark)
+        words.append(land.words(step))
+    return (*words, *_breaking(land, last))
+
+
+def _breaking(land: Land, state: Plain) -> list[str]:
+    """The step that breaks an invariant: one that leads to a bad state, or raises by itself."""
+    steps = land.successors(state)
+    while True:
+        try:
+            step, after = next(steps)
+        except Broken as broken:
+            return [f"the next step: {broken}"]
+        try:
+            land.check(after)
+        except Broken as broken:
+            return [land.words(step), str(broken)]
--- /dev/null
+++ b/tests/test_surveyor.py
@@ -0,0 +1,80 @@
+"""The store's decisions through all orders of events within small bounds, and by longer runs at random."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from loomstand.surveyor.__main__ import main
+from loomstand.surveyor.land import Bounds, Broken, Land
+from loomstand.surveyor.mutants import MUTANTS, brief
+from loomstand.surveyor.plot import Rules
+from loomstand.surveyor.walk import survey
+
+
+def test_all_runs_within_small_bounds_hold():
+    found = survey(Land(Rules(), brief("restart", takers="c", wipes=1)), seconds=60.0)
+    assert found.whole and not found.broken
+    assert found.states > 3000 and found.depth > 25
+
+
+@pytest.mark.parametrize("name", [n for n, m in MUTANTS.items() if m.brief])
+def test_a_step_left_out_is_found(name):
+    mutant = MUTANTS[name]
+    found = survey(Land(mutant.rules, mutant.bounds), states=100_000, seconds=60.0)
+    assert found.broken[1:2] in [*mutant.breaks], found
+    assert found.trace[-1].endswith(found.broken)
+
+
+def test_the_program_tells_the_shortest_trace(capsys):
+    assert main(["--mutate", "any-disk"]) == 1
+    told = capsys.readouterr().out
+    assert "a has lost its disk and starts" in told and "broken: (d)" in told
+    assert main(["--states", "500", "--members", "4"]) == 0
+    assert "not all in bounds" in capsys.readouterr().out
+
+
+class Ramble(RuleBasedStateMachine):
+    """One long run: far deeper, and with more faults, than all runs can be walked."""
+
+    land = Land(Rules(), Bounds(members=4, epochs=8, faults=12, changes=2, yields=2))
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = self.land.first()
+
+    @rule(choices=st.lists(st.integers(0, 1 << 16), min_size=8, max_size=8))
+    def go_on(self, choices: list[int]) -> None:
+        for choice in choices:
+            ways = [after for _, after in self.land.successors(self.state)]
+            if self.state.fresh and choice % 8:
+                ways = ways[:1]  # mostly messages arrive, else nothing gets anywhere
+            if ways:
+                self.state = ways[choice % len(ways)]
+                self.land.check(self.state)
+
+
+# no shrinking: the surveyor finds the shortest trace, this one only asks whether there is one
+RAMBLES = settings(
+    max_examples=25,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=[Phase.generate],
+    suppress_health_check=[*HealthCheck],
+)
+
+
+def test_long_runs_at_random_hold():
+    run_state_machine_as_test(Ramble, settings=RAMBLES)
+
+
+def test_long_runs_at_random_find_a_mutant():
+    class Mutated(Ramble):
+        land = Land(MUTANTS["alone"].rules, Ramble.land.bounds)
+
+    with pytest.raises(Broken):
+        run_state_machine_as_test(Mutated, settings=RAMBLES)
