Tests: a rehearsal is stopped by SIGINT also where the shell's background job ignores it

Cause: run in the background the child inherits an ignored SIGINT and the test hung, then failed. Change: the child starts with the signal's default. Measured: fails before, passes after, in the background.

--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -116,7 +116,10 @@
 @pytest.mark.parametrize("sig", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_no_process_outlives_a_rehearsal_that_is_stopped(sig, tmp_path):
     command = [sys.executable, "-m", "loomstand", "rehearse", str(EXAMPLES / "site-loss.toml"), "--quick"]
-    run = subprocess.Popen([*command, "--out", str(tmp_path)], cwd=HERE.parent, stderr=subprocess.DEVNULL)
+    run = subprocess.Popen(
+        [*command, "--out", str(tmp_path)], cwd=HERE.parent, stderr=subprocess.DEVNULL,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),  # a background job ignores it
+    )  # fmt: skip
     rows = tmp_path / "trail" / "stage.jsonl"
     while not rows.exists() or "began" not in rows.read_text():
         assert run.poll() is None
