Read again: one look at the route for each request, dead code of the lists gone

Cause: after a limiter's start every request was looked up twice; a method that nothing called, a dict where a list does. Change: the time since the start is asked first; Lists.forget is gone; a comment follows the session's length. Behaviour as before.

--- a/loomstand/nursery/program.py
+++ b/loomstand/nursery/program.py
@@ -22,7 +22,7 @@
 from loomstand.orchard.units import UnitError, address, address_text, seconds
 from loomstand.orchard.verdict import Refused, Verdict
 
-TELL = 1.0  # seconds between what registries tell each other unasked: half of what a session stands
+TELL = 1.0  # seconds between what registries tell each other unasked
 TOLD_WITHIN = 0.35  # a drain's acknowledgement waits so long for the others; servers wait a second for it
 STATUS = 0.4  # seconds between looks at the lease: it is a third of the lease's length
 STORE_WITHIN = 0.95  # operators wait a second
--- a/loomstand/stile/lists.py
+++ b/loomstand/stile/lists.py
@@ -41,7 +41,6 @@
             before = {id_: known.use for id_, known in self.servers.items() if registry in known.said}
             for id_ in before:
                 del self.servers[id_].said[registry]
-        changed: dict[str, None] = {}
         for id_, address, service, zone, slots, state, sequence, _cold in rows:
             known = self.servers.get(id_)
             if known is None:
@@ -55,11 +54,4 @@
                 known.state = state
             if sequence > known.sequence:
                 known.sequence, known.address = sequence, address
-        for id_, use in before.items():
-            if self.servers[id_].use != use:
-                changed[id_] = None
-        return list(changed)
-
-    def forget(self, id_: str) -> None:
-        """A server that is gone and told to be."""
-        self.servers.pop(id_, None)
+        return [id_ for id_, use in before.items() if self.servers[id_].use != use]
--- a/loomstand/stile/program.py
+++ b/loomstand/stile/program.py
@@ -227,8 +227,10 @@
 
     def staffed(self, req: Asked) -> bool:
         """Whether somebody is known who could serve it; later on, whoever isn't known isn't there."""
+        if self.loop.time() - self.begun > SETTLED:  # first, as each request asks
+            return True
         route = self.table.find(req.host, req.path)
-        if route is None or self.loop.time() - self.begun > SETTLED:
+        if route is None:
             return True
         return any(weight > 0 and self.by_service.get(service) for service, weight in route.split)
 
