--- a/benchmarks/system_scale.py
+++ b/benchmarks/system_scale.py
@@ -25,18 +25,18 @@
 
 from absl import logging
 
-from loomstand.furrow.frames import Reader, pack
-from loomstand.stile.sessions import ASK
-from loomstand.weather import loop as weather
-from loomstand.weather.network import Air
-from loomstand.weather.town import Town
+from loomstand.proxy.sessions import ASK
+from loomstand.rpc.frames import Reader, pack
+from loomstand.simulation import loop as simulation
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.network import MachineNetwork
 
 CORES = 4
 # A proxy's part of the grown sites' servers, tenants and requests a second, the mean of both.
 SERVERS, TENANTS, REQUESTS = (107 + 155) / 160, (79 + 84) / 160, (740 + 461) / 160
 USE = 0.6  # of its quota, by each tenant: as at the sites
 SPREAD = 2.0  # s over which proxies and servers start that were all killed
-NURSERY, GRANARY = 7340, 7355
+REGISTRY, STORE = 7340, 7355
 TO_STORE = {"wait", "status", "put", "read", "offer"}  # what a registry calls its store by
 
 
@@ -46,7 +46,7 @@
 
     calls: Counter[tuple[str, str, str]] = field(default_factory=Counter)
     bytes: Counter[tuple[str, str, str]] = field(default_factory=Counter)
-    work: dict[weather.Life, float] = field(default_factory=lambda: defaultdict(float))
+    work: dict[simulation.Life, float] = field(default_factory=lambda: defaultdict(float))
 
     def count(self, host: str, program: str, op: str, size: int, calls: int = 0) -> None:
         self.calls[host, program, op] += calls
@@ -61,19 +61,19 @@
 def caller(host: str, port: int, op: str) -> str:
     if host.startswith("10.2."):
         return "proxy"
-    return "nursery" if port == NURSERY or op in TO_STORE else "granary"
+    return "registry" if port == REGISTRY or op in TO_STORE else "store"
 
 
 def metered(meter: Meter) -> ExitStack:
     """Has every call coded and counted, and every callback of a machine timed."""
-    call, listen, run = Air.call, Air.listen, weather._Gate.__call__
+    call, listen, run = MachineNetwork.call, MachineNetwork.listen, simulation._Gate.__call__
 
     def decoded(raw: bytes) -> int:
         for _ in Reader().feed(raw):
             pass
         return len(raw)
 
-    async def calling(air: Air, address: Any, op: str, body: Any, within: float) -> Any:
+    async def calling(air: MachineNetwork, address: Any, op: str, body: Any, within: float) -> Any:
         who = caller(air.host, address[1], op)
         meter.count(air.host, who, op, len(pack([1000, op, body])), 1)
         got = await call(air, address, op, body, within)
@@ -81,8 +81,8 @@
             meter.count(air.host, who, op, decoded(pack([1000, True, got.ok])))
         return got
 
-    async def listening(air: Air, address: Any, serve: Any) -> None:
-        program = "nursery" if address[1] == NURSERY else "granary"
+    async def listening(air: MachineNetwork, address: Any, serve: Any) -> None:
+        program = "registry" if address[1] == REGISTRY else "store"
 
         async def serving(op: str, body: Any) -> Any:
             meter.count(air.host, program, op, decoded(pack([1000, op, body])), 1)
@@ -98,15 +98,15 @@
         meter.work[gate.life] += time.process_time() - begun
 
     stack = ExitStack()
-    for thing, name, new in ((Air, "call", calling), (Air, "listen", listening)):
+    for thing, name, new in ((MachineNetwork, "call", calling), (MachineNetwork, "listen", listening)):
         stack.enter_context(mock.patch.object(thing, name, new))
-    stack.enter_context(mock.patch.object(weather._Gate, "__call__", running))
+    stack.enter_context(mock.patch.object(simulation._Gate, "__call__", running))
     return stack
 
 
-def build(n: int, seed: int) -> Town:
+def build(n: int, seed: int) -> Cluster:
     """A town with the grown sites' proportions; it isn't begun."""
-    town = Town(seed, CORES, n, max(1, round(n * SERVERS / 2)))
+    town = Cluster(seed, CORES, n, max(1, round(n * SERVERS / 2)))
     town.usual()
     del town.resources["tenants", "ann"]
     town.book.owners.clear()
@@ -120,7 +120,7 @@
     return town
 
 
-async def traffic(town: Town, rate: float, seconds: float) -> Counter[int]:
+async def traffic(town: Cluster, rate: float, seconds: float) -> Counter[int]:
     """Requests of all tenants, a few of them large, at all proxies; what came of them."""
     rng, keys, tasks = Random(7), [*town.book.owners], []
     weights = [1 / (k + 1) for k in range(len(keys))]
@@ -134,16 +134,16 @@
     return Counter(reply.status for reply in await asyncio.gather(*tasks))
 
 
-def looked(town: Town, meter: Meter, seconds: float, alone: bool = False) -> dict[str, Any]:
-    """Per second and machine: calls, bytes, work; `counter` is the nursery that counts. Where `alone`, sums
+def looked(town: Cluster, meter: Meter, seconds: float, alone: bool = False) -> dict[str, Any]:
+    """Per second and machine: calls, bytes, work; `counter` is the registry that counts. Where `alone`, sums
     for an event rather than rates."""
     counter = town.counting()
     rows: dict[str, Any] = {}
     groups: dict[str, tuple[str, list[str]]] = {
         "proxy": ("proxy", [*town.proxies]),
-        "nursery": ("nursery", [ip for ip in town.core_ips if ip != counter]),
-        "counter": ("nursery", [counter]),
-        "granary": ("granary", town.core_ips),
+        "registry": ("registry", [ip for ip in town.core_ips if ip != counter]),
+        "counter": ("registry", [counter]),
+        "store": ("store", town.core_ips),
     }
     over = 1.0 if alone else seconds
     for label, (program, hosts) in groups.items():
@@ -153,7 +153,7 @@
             op: [round(sum(m[h, program, op] for h in hosts) / many, 2) for m in (meter.calls, meter.bytes)]
             for op in ops
         }
-        machines = town.proxies if label == "proxy" else town.stores if label == "granary" else town.nurseries
+        machines = town.proxies if label == "proxy" else town.stores if label == "store" else town.registries
         lives = [machines[host].life for host in hosts]
         rows[label] = {
             "ops": each,
@@ -236,7 +236,7 @@
                   "flap of a tenth", "all start"):  # fmt: skip
         unit = "a second" if phase in ("idle", "loaded") else "in all, a machine"
         lines.append(f"\n{phase} ({unit}): calls / kB / ms of work")
-        for program in ("proxy", "nursery", "counter", "granary"):
+        for program in ("proxy", "registry", "counter", "store"):
             cells = []
             for said in all_:
                 row = said[phase][program]
--- a/loomstand/foreman/commands.py
+++ b/loomstand/ctl/commands.py
@@ -10,10 +10,10 @@
 import cappa
 from rich.console import Console
 
-from loomstand.foreman.plain import Wrong, said
-from loomstand.orchard.units import UnitError, port, seconds, shown
+from loomstand.ctl.plain import Wrong, said
+from loomstand.shared.units import UnitError, port, seconds, shown
 
-PROG = "loomstand.foreman"
+PROG = "loomstand.ctl"
 WIDTH = 80
 # An error stays one line however narrow the terminal is; whoever reads it in a log wants it whole.
 UNBROKEN = 100_000
@@ -102,7 +102,7 @@
 
 @cappa.command(
     name="check",
-    invoke="loomstand.foreman.files.settings_check",
+    invoke="loomstand.ctl.files.settings_check",
     help="Read a settings file as the daemons do, and say what it holds.",
     epilog=_ends("settings check /etc/loomstand/core-1.properties", codes="0 fine, 2 can't be used"),
 )
@@ -120,7 +120,7 @@
 
 @cappa.command(
     name="check",
-    invoke="loomstand.foreman.files.config_check",
+    invoke="loomstand.ctl.files.config_check",
     help="Say whether a configuration is valid, and warn of what is valid but unwise.",
     epilog=_ends(
         "config check r12.json",
@@ -135,7 +135,7 @@
 
 @cappa.command(
     name="diff",
-    invoke="loomstand.foreman.files.config_diff",
+    invoke="loomstand.ctl.files.config_diff",
     help="Say what NEW adds, takes away and changes. Keys are counted and never printed.",
     epilog=_ends(
         "config diff r12.json r13.json",
@@ -152,7 +152,7 @@
 
 @cappa.command(
     name="push",
-    invoke="loomstand.foreman.calls.config_push",
+    invoke="loomstand.ctl.calls.config_push",
     help="Send a configuration, and print the version in force. An invalid one is not sent.",
     description="A call without a clear answer is sent again, unchanged, to the next registry.",
     epilog=_ends(
@@ -171,7 +171,7 @@
 
 @cappa.command(
     name="read",
-    invoke="loomstand.foreman.calls.config_read",
+    invoke="loomstand.ctl.calls.config_read",
     help="Print the newest configuration, as JSON.",
     description="Keys are masked: push refuses what was read without `--keys`.",
     epilog=_ends(
@@ -194,7 +194,7 @@
 
 @cappa.command(
     name="status",
-    invoke="loomstand.foreman.status.status",
+    invoke="loomstand.ctl.status.status",
     help="Ask every registry given, and those of the core machines that they name, how it stands.",
     epilog=_ends(
         "status --at 10.1.0.33:8783",
@@ -209,7 +209,7 @@
 
 @cappa.command(
     name="rescue",
-    invoke="loomstand.foreman.rescue.rescue",
+    invoke="loomstand.ctl.rescue.rescue",
     help="Say what is left of the store where more was lost than it bears, and found it anew with `--yes`.",
     description="Read docs/rescue.md first. Who is named by `--gone` must never come back: operators vouch "
     "for it, and the programs can't know. Without `--yes` nothing is changed.",
@@ -238,7 +238,7 @@
 
 @cappa.command(
     name="draw",
-    invoke="loomstand.foreman.days.days_draw",
+    invoke="loomstand.ctl.days.days_draw",
     help="Draw days of our own for the bench's `run SITE FILE`, which mix the troubles that SITE lists.",
     description="Until every two kinds have met, unless `--days` says otherwise. The same words give the "
     "same files.",
@@ -288,7 +288,7 @@
 
 @cappa.command(
     name="show",
-    invoke="loomstand.foreman.journal.journal_show",
+    invoke="loomstand.ctl.journal.journal_show",
     help="Say what was lost where in an entry of the bench's journal.",
     epilog=_ends(
         "journal show 4a9d421e",
@@ -317,7 +317,7 @@
 
 @cappa.command(
     name="compare",
-    invoke="loomstand.foreman.journal.journal_compare",
+    invoke="loomstand.ctl.journal.journal_compare",
     help="Set the days of two entries side by side, and say which causes took more or less.",
     epilog=_ends(
         "journal compare dcd8f963 4dc70f73",
@@ -335,7 +335,7 @@
 
 @cappa.command(
     name="list",
-    invoke="loomstand.foreman.journal.journal_list",
+    invoke="loomstand.ctl.journal.journal_list",
     help="List this bench's entries, the newest last.",
     epilog=_ends(
         "journal list --verb score --site nakhla-loom", codes="0 fine, 2 bad usage or no such directory"
@@ -359,9 +359,9 @@
     command: cappa.Subcommands[JournalShow | JournalCompare | JournalList]
 
 
-@cappa.command(name=PROG, help="The operators' command line of the gateway (docs/foreman.md).")
+@cappa.command(name=PROG, help="The operators' command line of the gateway (docs/ctl.md).")
 @dataclass
-class Foreman:
+class Ctl:
     command: cappa.Subcommands[Settings | Config | Status | Core | Days | Journals]
 
 
@@ -374,7 +374,7 @@
         error_format="{prog}: {message}",
     )
     try:
-        return int(cappa.invoke(Foreman, argv=argv, output=output, completion=False))
+        return int(cappa.invoke(Ctl, argv=argv, output=output, completion=False))
     except Wrong as why:
         print(f"{PROG}: {said(str(why))}", file=sys.stderr)
         return why.code
--- a/loomstand/foreman/days.py
+++ b/loomstand/ctl/days.py
@@ -6,9 +6,9 @@
 import os
 
 from loomstand.almanac import draw, site, write
-from loomstand.foreman import show
-from loomstand.foreman.commands import DaysDraw
-from loomstand.foreman.plain import Wrong, held, many, said
+from loomstand.ctl import show
+from loomstand.ctl.commands import DaysDraw
+from loomstand.ctl.plain import Wrong, held, many, said
 
 INDEX = "index.json"
 
--- a/loomstand/foreman/files.py
+++ b/loomstand/ctl/files.py
@@ -5,11 +5,11 @@
 import json
 from typing import Any
 
-from loomstand.foreman.commands import ConfigCheck, ConfigDiff, SettingsCheck
-from loomstand.foreman.plain import Wrong, configuration, data, held, many, said, short, time
-from loomstand.orchard.configuration import Configuration
-from loomstand.orchard.settings import Settings, SettingsError, parse
-from loomstand.orchard.units import address_text, version_text
+from loomstand.ctl.commands import ConfigCheck, ConfigDiff, SettingsCheck
+from loomstand.ctl.plain import Wrong, configuration, data, held, many, said, short, time
+from loomstand.shared.configuration import Configuration
+from loomstand.shared.settings import Settings, SettingsError, parse
+from loomstand.shared.units import address_text, version_text
 
 
 def settings_check(asked: SettingsCheck) -> int:
@@ -39,8 +39,8 @@
         + ("its loss counts" if told.loss_counted else "its loss does not count"),
         f"serves {', '.join(told.serves) or 'nothing outside'}",
         *(f"listens at {address_text(a)} for {n}" for n, a in listens),
-        f"system's own calls: registry {address_text(told.nursery(told.ip_address))}, "
-        f"store {address_text(told.granary(told.ip_address))}",
+        f"system's own calls: registry {address_text(told.registry(told.ip_address))}, "
+        f"store {address_text(told.store(told.ip_address))}",
         f"seeds: {', '.join(map(address_text, told.seeds))}",
         f"zones: {', '.join(f'{zone} ({region})' for zone, region in told.zones.items()) or 'none named'}",
         f"first start: {'yes' if told.first_start else 'no'}; data in {told.data_directory or 'memory only'}",
@@ -70,7 +70,7 @@
 
 
 def config_check(asked: ConfigCheck) -> int:
-    from loomstand.foreman.advice import advice
+    from loomstand.ctl.advice import advice
 
     raw = held(asked.file)
     try:
@@ -94,7 +94,7 @@
 
 
 def config_diff(asked: ConfigDiff) -> int:
-    from loomstand.foreman.compare import difference, lines
+    from loomstand.ctl.compare import difference, lines
 
     if asked.old == asked.new == "-":
         raise Wrong("standard input can't be both files")
--- a/loomstand/foreman/journal.py
+++ b/loomstand/ctl/journal.py
@@ -11,9 +11,9 @@
 from loomstand.almanac import entry, losses, site
 from loomstand.almanac.entry import Day, Entry
 from loomstand.almanac.losses import Change, Loss
-from loomstand.foreman import show
-from loomstand.foreman.commands import WIDTH, JournalCompare, JournalList, JournalShow
-from loomstand.foreman.plain import Wrong, data, held, many, said
+from loomstand.ctl import show
+from loomstand.ctl.commands import WIDTH, JournalCompare, JournalList, JournalShow
+from loomstand.ctl.plain import Wrong, data, held, many, said
 
 IN_FULL = 8  # days of which all is said; a hunt has more, and is read by its table
 SHOWN = 0.0005  # losses that three digits would show as 0 are left out
--- a/loomstand/foreman/show.py
+++ b/loomstand/ctl/show.py
@@ -8,7 +8,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from loomstand.foreman.commands import WIDTH
+from loomstand.ctl.commands import WIDTH
 
 
 def console() -> Console:
--- a/loomstand/foreman/status.py
+++ b/loomstand/ctl/status.py
@@ -8,11 +8,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from loomstand.foreman import calls
-from loomstand.foreman.calls import Address, Failure
-from loomstand.foreman.commands import Status
-from loomstand.foreman.plain import said
-from loomstand.orchard.units import UnitError, address, address_text
+from loomstand.ctl import calls
+from loomstand.ctl.calls import Address, Failure
+from loomstand.ctl.commands import Status
+from loomstand.ctl.plain import said
+from loomstand.shared.units import UnitError, address, address_text
 
 AGAIN = 0.5  # seconds until a second look where versions differ: news takes up to 0.3 s to all registries
 MOST = 64  # registries asked; a core has a handful
@@ -121,7 +121,7 @@
 
 def _show(found: Found, wrong: list[str]) -> None:
     """A table, what the registries say besides, and what is wrong, within 80 columns."""
-    from loomstand.foreman import show
+    from loomstand.ctl import show
 
     console = show.console()
     heads = ("address", "name", "version", "counts", "limiters", "servers")
--- a/loomstand/surveyor/__main__.py
+++ b/loomstand/model_checker/__main__.py
@@ -1,19 +1,19 @@
-"""`python -m loomstand.surveyor`: searches the store's states for one that breaks an invariant."""
+"""`python -m loomstand.model_checker`: searches the store's states for one that breaks an invariant."""
 
 from __future__ import annotations
 
 import argparse
 import sys
 
-from loomstand.surveyor.land import KINDS, Bounds, Land
-from loomstand.surveyor.mutants import MUTANTS
-from loomstand.surveyor.plot import Rules
-from loomstand.surveyor.walk import survey
+from loomstand.model_checker.member import Rules
+from loomstand.model_checker.mutants import MUTANTS
+from loomstand.model_checker.search import survey
+from loomstand.model_checker.state_space import KINDS, Bounds, StateSpace
 
 
 def main(words: list[str] | None = None) -> int:
     """1 if something is broken, else 0; a mutant is searched within its own bounds."""
-    parser = argparse.ArgumentParser(prog="python -m loomstand.surveyor", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python -m loomstand.model_checker", description=__doc__)
     # these bounds are searched to the end in about five minutes
     parser.add_argument("--members", type=int, choices=(3, 4), default=3, help="4: a voter may be replaced")
     parser.add_argument("--states", type=int, default=10_000_000, help="distinct states after which it ends")
@@ -47,7 +47,7 @@
     )
     if asked.mutate:
         rules, bounds = MUTANTS[asked.mutate].rules, MUTANTS[asked.mutate].bounds
-    found = survey(Land(rules, bounds), asked.states, asked.seconds)
+    found = survey(StateSpace(rules, bounds), asked.states, asked.seconds)
     each = found.states / max(found.seconds, 1e-9)
     print(f"{found.states} states, {found.transitions} transitions, depth {found.depth}", end="")
     print(f", {found.seconds:.1f} s, {each:.0f} states/s, {'all' if found.whole else 'not all'} in bounds")
--- a/loomstand/surveyor/plot.py
+++ b/loomstand/model_checker/member.py
@@ -1,5 +1,5 @@
-"""One member at one moment, as a value: the granary's own Tenure and Bid are set up from it, take one event
-and are written back. Only the order of calls (granary/campaign.py and program.py) is told again here.
+"""One member at one moment, as a value: the store's own Replica and Ballot are set up from it, take one event
+and are written back. Only the order of calls (store/election.py and program.py) is told again here.
 
 The clock stands at 0 all the time: what is past has negative times, and a tick moves everything back.
 """
@@ -15,12 +15,12 @@
 
 import cbor2
 
-from loomstand.granary import rescue
-from loomstand.granary.bid import Bid, Held
-from loomstand.granary.rescue import Case, Rescue
-from loomstand.granary.tenure import HOLD, LEASE, Peer, Plan, State, Step, Tenure
-from loomstand.granary.views import Member, Record, View
-from loomstand.orchard.verdict import Refused
+from loomstand.shared.verdict import Refused
+from loomstand.store import rescue
+from loomstand.store.ballot import Ballot, Held
+from loomstand.store.replica import HOLD, LEASE, Peer, Plan, Replica, State, Step
+from loomstand.store.rescue import Case, Rescue
+from loomstand.store.views import Member, Record, View
 
 TICK = HOLD / 2  # s: a grant stands after one of them and has run out after two, for both of its ends
 LONG = -1e9  # s: any moment whose distance no longer matters
@@ -102,8 +102,8 @@
 class Rules:
     """The code under test; mutants exchange a part of it."""
 
-    tenure: type[Tenure] = Tenure
-    bid: type[Bid] = Bid
+    replica: type[Replica] = Replica
+    ballot: type[Ballot] = Ballot
     rescue: type[Rescue] = Rescue
     hasty: bool = False  # commits before the backup wrote
     same_id: bool = False  # a wiped disk comes back under the old id
@@ -115,7 +115,7 @@
     def __init__(self, rules: Rules, seeds: tuple[Member, ...], cell: Cell) -> None:
         self.rules, self.seeds, self.cell = rules, seeds, cell
         me = Member(cell.record.id, address(cell.index))
-        t = rules.tenure(me, tuple(m.address for m in seeds), cell.record, cell.started, RNG)
+        t = rules.replica(me, tuple(m.address for m in seeds), cell.record, cell.started, RNG)
         t.promised, t.promised_to, t.seen = cell.promised, cell.promised_to, cell.seen
         t.holder, t.hold = cell.holder, cell.hold
         t.granted = {i: (e, s) for i, e, s in cell.granted}
@@ -124,12 +124,12 @@
         for m in seeds:  # as a founder knows the others
             if m != me:
                 t.peers[m.address] = Peer(m.id, answered=0.0, founder=True)  # so it may ask for its lease
-        self.tenure, self.pen, self.work = t, cell.pen, cell.work
+        self.replica, self.pen, self.work = t, cell.pen, cell.work
         self.out: list[Message] = []
         self.marks: list[Mark] = []
 
     def frozen(self) -> Cell:
-        t, work = self.tenure, self.work
+        t, work = self.replica, self.work
         if work is not None and work.stage == "stand" and t.leads(0.0):
             if t.writes(0.0):
                 self.commit(t.record.version, t.record.data)
@@ -148,8 +148,8 @@
         )  # fmt: skip
 
     def commit(self, version: int, data: bytes) -> None:
-        self.tenure.commit(version, data)
-        self.marks.append(("force", self.tenure.version, self.tenure.data))
+        self.replica.commit(version, data)
+        self.marks.append(("force", self.replica.version, self.replica.data))
 
     # --- the disk
 
@@ -157,13 +157,13 @@
         """As Desk.ink: decided now, on disk after `write`, unless there is nothing to write."""
         record = change()
         self.pen = (record, then)
-        if not record.pages(self.tenure.record):
+        if not record.pages(self.replica.record):
             self.write()
 
     def write(self) -> None:
         assert self.pen is not None
         (record, then), self.pen = self.pen, None
-        self.tenure.wrote(0.0, record)
+        self.replica.wrote(0.0, record)
         match then:
             case ("answer", call, body):
                 self.reply(call, body)
@@ -171,7 +171,7 @@
                 view = record.view
                 assert view is not None
                 try:
-                    self.tenure.renew(0.0, view)
+                    self.replica.renew(0.0, view)
                     self.reply(call, body)
                 except Refused:
                     pass
@@ -186,7 +186,7 @@
     # --- calls
 
     def beat(self, member: Member) -> None:
-        t = self.tenure
+        t = self.replica
         if not t.owns():
             raise Refused("not the primary")
         body = t.beat(0.0, member.address)
@@ -194,13 +194,13 @@
 
     def ask(self, member: Member, op: str, /, **body: Any) -> None:
         at = int(member.address[0].split(".")[1]) - 1
-        if member.id != self.tenure.me.id:
+        if member.id != self.replica.me.id:
             self.out.append(Message(op, False, self.cell.index, at, member.id, cbor2.dumps(body)))
 
     def reply(self, call: Message, body: bytes) -> None:
-        if call.op != "beat" and call.name != self.tenure.record.id:
+        if call.op != "beat" and call.name != self.replica.record.id:
             self.marks.append(
-                ("broken", f"(d) {self.tenure.record.id} answers for the lost disk {call.name}")
+                ("broken", f"(d) {self.replica.record.id} answers for the lost disk {call.name}")
             )
         if call.heeded:
             mine, other = self.cell.index, call.by
@@ -211,7 +211,7 @@
         (self.on_answer if m.answer else self.on_call)(m, body)
 
     def on_call(self, m: Message, body: dict[str, Any]) -> None:
-        t = self.tenure
+        t = self.replica
         if m.op == "beat":
             answer = t.on_beat(0.0, body | FILL)
             kept = {k: answer[k] for k in ("member", "view", "granted")}
@@ -248,7 +248,7 @@
                 self.ink(lambda: t.install(view), "renew", m, cbor2.dumps({"epoch": view.epoch}))
 
     def on_answer(self, m: Message, body: dict[str, Any]) -> None:
-        t, work = self.tenure, self.work
+        t, work = self.replica, self.work
         if m.op == "beat":
             t.on_answer(0.0, m.sent, body | FILL)
             return
@@ -272,10 +272,10 @@
                 self.work = work._replace(ids=work.ids | {"kept"})
                 self.both()
 
-    # --- a campaign, as in granary/campaign.py
+    # --- a campaign, as in store/election.py
 
     def campaign(self, plan: Plan, epoch: int, release: tuple[str, int] | None = None) -> None:
-        t = self.tenure
+        t = self.replica
         if plan.step is not Step.MOVE:
             t.resign()
         base = t.base() if plan.step is not Step.FOUND else None
@@ -286,13 +286,13 @@
         by, under = release or ("", 0)
         ids = frozenset({t.me.id, by} - {""})
         self.work = Work("promise", epoch, plan, base, ids, released=under)
-        if self.bid().epoch(epoch - 1) is None:
+        if self.ballot().epoch(epoch - 1) is None:
             raise Refused("given up")
         self.ink(lambda: t.promise(0.0, epoch, t.me.id, under), "work", "promise", epoch)
 
     def rescue(self, case: Case, epoch: int) -> None:
-        """As Aid does by operators' word."""
-        t = self.tenure
+        """As RescueCalls does by operators' word."""
+        t = self.replica
         if self.pen is not None:
             raise Refused("not now")
         t.resign()
@@ -302,25 +302,25 @@
 
     def greet(self, view: View) -> None:
         """At its start all in reach answer before it asks for a lease, and tell of the newest view."""
-        self.tenure.notice(view)
-        record = self.tenure.fenced()
+        self.replica.notice(view)
+        record = self.replica.fenced()
         if record is not None:
             self.ink(lambda: record, "fenced")
 
-    def bid(self) -> Bid:
+    def ballot(self) -> Ballot:
         assert self.work is not None and self.work.plan is not None
         if self.work.case is not None:
-            held = rescue.best(self.tenure, (0, b""))
+            held = rescue.best(self.replica, (0, b""))
             return self.rules.rescue(self.work.plan, self.work.base, self.work.case, held, 0)
-        return self.rules.bid(self.work.plan, self.work.base)
+        return self.rules.ballot(self.work.plan, self.work.base)
 
     def wrote(self, stage: str, record: Record) -> None:
-        t, work = self.tenure, self.work
+        t, work = self.replica, self.work
         assert work is not None
         match stage:
             case "promise":
                 self.work = work._replace(stage="poll")
-                for m in self.bid().electors(t):
+                for m in self.ballot().electors(t):
                     if m.id not in work.ids:
                         self.ask(m, "promise", epoch=work.epoch, asker=t.me.id, released=work.released)
                 self.polled()
@@ -343,10 +343,10 @@
     def polled(self) -> None:
         work = self.work
         assert work is not None
-        if self.bid().outdated(self.tenure):
+        if self.ballot().outdated(self.replica):
             self.work = None
-        elif self.bid().won(self.tenure, work.ids):
-            held = self.bid().own(self.tenure)
+        elif self.ballot().won(self.replica, work.ids):
+            held = self.ballot().own(self.replica)
             if held is not None:
                 self.prevail(held)
             else:
@@ -356,21 +356,21 @@
     def fetch(self) -> None:
         """Asks the first who may hold the data, or the next if that one doesn't answer."""
         work = self.work
-        rest = [m for m in self.bid().sources() if m not in work.asked]
+        rest = [m for m in self.ballot().sources() if m not in work.asked]
         if not rest:
             raise Refused("nobody left")
         self.work = work._replace(asked=(*work.asked, rest[0]))
-        self.ask(rest[0], "fetch", epoch=work.epoch, asker=self.tenure.me.id)
+        self.ask(rest[0], "fetch", epoch=work.epoch, asker=self.replica.me.id)
 
     def prevail(self, held: Held) -> None:
-        found = self.bid().prevails(self.tenure, held)
+        found = self.ballot().prevails(self.replica, held)
         assert found is not None and self.work is not None
         self.work = self.work._replace(stage="own", asked=(), held=found)
         self.go()
 
     def go(self) -> None:
         """The next write to its own disk, once the pen is free."""
-        t, work = self.tenure, self.work
+        t, work = self.replica, self.work
         if self.pen is not None:
             return
         assert work is not None
@@ -380,7 +380,7 @@
                 self.ink(lambda: t.own(work.epoch, *work.held), "work", "owning", work.epoch)
             else:
                 # the ids are those who promised; the backup is whom it asked last
-                view = self.bid().view(t, work.epoch, work.asked[-1], work.ids)
+                view = self.ballot().view(t, work.epoch, work.asked[-1], work.ids)
                 t.settled = work.epoch
                 self.work = work._replace(stage="installing")
                 self.ink(lambda: t.install(view), "work", "installing", work.epoch)
@@ -390,18 +390,18 @@
     def backup(self, member: Member) -> None:
         """Has another member write the data; an earlier one that was asked may still do so."""
         work = self.work
-        if work is None or work.stage != "backup" or member in work.asked or member == self.tenure.me:
+        if work is None or work.stage != "backup" or member in work.asked or member == self.replica.me:
             raise Refused("not now")
-        if not self.bid().takes(member, work.ids):
+        if not self.ballot().takes(member, work.ids):
             raise Refused("didn't promise")
         self.work = work._replace(asked=(*work.asked, member))
         version, data = work.held
-        self.ask(member, "keep", epoch=work.epoch, asker=self.tenure.me.id, version=version, data=data)
+        self.ask(member, "keep", epoch=work.epoch, asker=self.replica.me.id, version=version, data=data)
 
-    # --- a change, as in granary/program.py
+    # --- a change, as in store/program.py
 
     def put(self, version: int, data: bytes) -> None:
-        t, view = self.tenure, self.tenure.record.view
+        t, view = self.replica, self.replica.record.view
         if not t.writes(0.0) or version <= t.version or self.pen is not None:
             raise Refused("not now")
         if self.work is not None and self.work.stage not in ("put", "settle"):  # which may run out of time
@@ -412,7 +412,7 @@
         self.ink(lambda: t.own(view.epoch, version, data), "work", "put", view.epoch)
 
     def settle(self) -> None:
-        t, view = self.tenure, self.tenure.record.view
+        t, view = self.replica, self.replica.record.view
         if view is None or view.backup is None or not t.leads(0.0) or self.pen is not None:
             raise Refused("not now")
         held = (t.record.version, t.record.data)
@@ -422,7 +422,7 @@
 
     def both(self) -> None:
         """Both disks have it, or just one of them."""
-        t, work = self.tenure, self.work
+        t, work = self.replica, self.work
         assert work is not None
         if "own" not in work.ids or ("kept" not in work.ids and not self.rules.hasty):
             return
@@ -438,10 +438,10 @@
 
     def commit_news(self, version: int, data: bytes) -> None:
         """News of what is in force, however late."""
-        self.tenure.commit(version, data)
+        self.replica.commit(version, data)
 
     def hand_over(self) -> None:
-        t, view, epoch = self.tenure, self.tenure.record.view, self.tenure.promised + 1
+        t, view, epoch = self.replica, self.replica.record.view, self.replica.promised + 1
         assert view is not None and view.backup is not None
         if self.pen is not None:
             raise Refused("not now")
@@ -454,7 +454,7 @@
 
     def plans(self, members: tuple[Member, ...]) -> list[Plan]:
         """All that `due` may say, whoever of `members` seems to be there, and however late it is."""
-        t, found = self.tenure, {}
+        t, found = self.replica, {}
         others = [m for m in members if m.id != t.me.id]
         stands = t.lease_left(0.0) > 0.0 or t.leads(0.0)
         now = 0.0 if stands else 100.0
--- a/loomstand/surveyor/mutants.py
+++ b/loomstand/model_checker/mutants.py
@@ -1,4 +1,4 @@
-"""Steps left out, one at a time: the surveyor is worth something only if it finds every one of them."""
+"""Steps left out, one at a time: the model_checker is worth something only if it finds every one of them."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from loomstand.granary.bid import Bid
-from loomstand.granary.rescue import Rescue
-from loomstand.granary.tenure import Tenure
-from loomstand.granary.views import Member, Record, View
-from loomstand.orchard.verdict import Refused
-from loomstand.surveyor.land import Bounds
-from loomstand.surveyor.plot import Rules
+from loomstand.model_checker.member import Rules
+from loomstand.model_checker.state_space import Bounds
+from loomstand.shared.verdict import Refused
+from loomstand.store.ballot import Ballot
+from loomstand.store.replica import Replica
+from loomstand.store.rescue import Rescue
+from loomstand.store.views import Member, Record, View
 
 
-class KeepsOld(Tenure):
+class KeepsOld(Replica):
     """Takes an old primary's write after it has promised a newer epoch."""
 
     def keep(self, epoch: int, asker: str, version: int, data: bytes) -> Record:
@@ -23,7 +23,7 @@
         return replace(self.record, promised=self.promised, version=version, data=data, written=epoch)
 
 
-class KeepsEarlier(Tenure):
+class KeepsEarlier(Replica):
     """Within an epoch takes a write that was overtaken by a later one."""
 
     def keep(self, epoch: int, asker: str, version: int, data: bytes) -> Record:
@@ -33,31 +33,31 @@
         return replace(self.record, promised=epoch, version=version, data=data, written=epoch)
 
 
-class Forgets(Tenure):
+class Forgets(Replica):
     """Promises while a grant of its own stands."""
 
     def may_promise(self, now: float, epoch: int, asker: str, released: int) -> bool:
         return epoch > self.promised
 
 
-class ForgetsEarlierLife(Tenure):
+class ForgetsEarlierLife(Replica):
     """Promises right after a start, while what it granted before may stand."""
 
     def may_promise(self, now: float, epoch: int, asker: str, released: int) -> bool:
         was, self.started = self.started, -1e9
-        may = Tenure.may_promise(self, now, epoch, asker, released)
+        may = Replica.may_promise(self, now, epoch, asker, released)
         self.started = was
         return may
 
 
-class LeasesFromReceipt(Tenure):
+class LeasesFromReceipt(Replica):
     """Counts a lease from the answer, not from when it asked."""
 
     def on_grant(self, id: str, epoch: int, sent: float) -> None:
-        Tenure.on_grant(self, id, epoch, 0.0)
+        Replica.on_grant(self, id, epoch, 0.0)
 
 
-class InstallsOld(Tenure):
+class InstallsOld(Replica):
     """Installs a view, and grants its lease, after it has promised a newer epoch."""
 
     def install(self, view: View) -> Record:
@@ -69,14 +69,14 @@
         self.holder, self.hold = view.primary.id, now + 1.25
 
 
-class AnyDisk(Tenure):
+class AnyDisk(Replica):
     """Answers what was asked of the disk that was there before."""
 
     def mine(self, to: str) -> None:
         pass
 
 
-class Unfenced(Tenure):
+class Unfenced(Replica):
     """Goes on under a view whose voters were given up, though it hears of the rescue."""
 
     def notice(self, view: View | None) -> None:
@@ -84,7 +84,7 @@
             self.seen = view
 
 
-class GoesOn(Bid):
+class GoesOn(Ballot):
     """Lets a view that was given up go on above a rescue's epoch."""
 
     def epoch(self, known: int) -> int | None:
@@ -98,25 +98,25 @@
         return True
 
 
-class Alone(Bid):
+class Alone(Ballot):
     """Installs a view without a majority's promises."""
 
-    def agreed(self, tenure: Tenure, ids: Collection[str]) -> bool:
+    def agreed(self, replica: Replica, ids: Collection[str]) -> bool:
         return True
 
 
-class AtOneGo(Bid):
+class AtOneGo(Ballot):
     """Changes the voters without the agreement of those before."""
 
-    def view(self, tenure: Tenure, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
-        return replace(Bid.view(self, tenure, epoch, backup, promised), former=())
+    def view(self, replica: Replica, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
+        return replace(Ballot.view(self, replica, epoch, backup, promised), former=())
 
 
-class Anybody(Bid):
+class Anybody(Ballot):
     """Takes what it has itself for what is in force, whoever it is."""
 
-    def own(self, tenure: Tenure) -> tuple[int, bytes] | None:
-        return tenure.record.version, tenure.record.data
+    def own(self, replica: Replica) -> tuple[int, bytes] | None:
+        return replica.record.version, replica.record.data
 
     def sources(self) -> list[Member]:
         return []
@@ -157,16 +157,16 @@
     "installs-old": Mutant(Rules(InstallsOld), brief("slow", epochs=3, takers="ab"), "a", False),
     "any-disk": Mutant(Rules(AnyDisk), brief(wipes=1), "d"),
     "same-id": Mutant(Rules(same_id=True), brief(wipes=1), "d"),
-    "alone": Mutant(Rules(bid=Alone), brief("lost"), "ab"),
+    "alone": Mutant(Rules(ballot=Alone), brief("lost"), "ab"),
     "at-one-go": Mutant(
-        Rules(bid=AtOneGo),
+        Rules(ballot=AtOneGo),
         brief("lost", members=4, changes=1, epochs=3, faults=3, takers="ab", versions=0),
         "b",
         False,
     ),
-    "anybody": Mutant(Rules(bid=Anybody), brief(), "a"),
+    "anybody": Mutant(Rules(ballot=Anybody), brief(), "a"),
     "unfenced": Mutant(Rules(Unfenced), RESCUE, "ab"),
-    "goes-on": Mutant(Rules(bid=GoesOn), replace(RESCUE, members=4, versions=0), "b"),
+    "goes-on": Mutant(Rules(ballot=GoesOn), replace(RESCUE, members=4, versions=0), "b"),
     "any-backup": Mutant(Rules(rescue=AnyBackup), RESCUE, "b"),
     "hasty": Mutant(Rules(hasty=True), brief("lost", takers="bc"), "a"),
 }
--- a/loomstand/surveyor/walk.py
+++ b/loomstand/model_checker/search.py
@@ -6,11 +6,11 @@
 from array import array
 from dataclasses import dataclass
 
-from loomstand.surveyor.land import Broken, Land, Plain
+from loomstand.model_checker.state_space import Broken, Plain, StateSpace
 
 
 @dataclass(slots=True)
-class Survey:
+class Search:
     """What a search has seen. `whole`: it ended for want of new states, so all within bounds are known."""
 
     states: int = 0
@@ -22,13 +22,13 @@
     trace: tuple[str, ...] = ()
 
 
-def survey(land: Land, states: int = 1_000_000, seconds: float = 300.0) -> Survey:
+def survey(land: StateSpace, states: int = 1_000_000, seconds: float = 300.0) -> Search:
     """Breadth first, until `states` are known, `seconds` are over, nothing is left or something is broken.
 
     Of a state only its 64-bit hash is kept: among 10 million the odds that any two are taken for one are
     3 in a million, and what that hides is one state.
     """
-    begun, out = time.perf_counter(), Survey(states=1)
+    begun, out = time.perf_counter(), Search(states=1)
     first = land.first()
     seen, parents = {hash(first)}, array("q", [-1])
     hashes = array("q", [hash(first)])
@@ -65,7 +65,9 @@
     return out
 
 
-def _trace(land: Land, parents: array[int], hashes: array[int], index: int, last: Plain) -> tuple[str, ...]:
+def _trace(
+    land: StateSpace, parents: array[int], hashes: array[int], index: int, last: Plain
+) -> tuple[str, ...]:
     """The steps from the first state to a broken one, found again along the hashes."""
     path: list[int] = []
     while index > 0:
@@ -78,7 +80,7 @@
     return (*words, *_breaking(land, last))
 
 
-def _breaking(land: Land, state: Plain) -> list[str]:
+def _breaking(land: StateSpace, state: Plain) -> list[str]:
     """The step that breaks an invariant: one that leads to a bad state, or raises by itself."""
     steps = land.successors(state)
     while True:
--- a/loomstand/surveyor/land.py
+++ b/loomstand/model_checker/state_space.py
@@ -8,11 +8,7 @@
 
 import cbor2
 
-from loomstand.granary.rescue import case, told
-from loomstand.granary.tenure import Plan, Step
-from loomstand.granary.views import MARGIN, Member, Record, View, newest
-from loomstand.orchard.verdict import Refused
-from loomstand.surveyor.plot import (
+from loomstand.model_checker.member import (
     LEASE,
     TICK,
     Cell,
@@ -25,6 +21,10 @@
     aged,
     waking,
 )
+from loomstand.shared.verdict import Refused
+from loomstand.store.replica import Plan, Step
+from loomstand.store.rescue import case, told
+from loomstand.store.views import MARGIN, Member, Record, View, newest
 
 KINDS = frozenset({"lost", "late", "twice", "slow", "restart", "cut"})
 
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True)
-class Land:
+class StateSpace:
     rules: Rules
     bounds: Bounds
     cells: list[Cell] = field(default_factory=list)
@@ -104,7 +104,7 @@
         if found is None:
             found = self.numbers[cell] = len(self.cells)
             self.cells.append(cell)
-            t = Plot(self.rules, self.seeds(), cell).tenure
+            t = Plot(self.rules, self.seeds(), cell).replica
             views = {v for v in (cell.record.view, cell.seen) if v is not None}
             self.facts.append((t.lease_left(0.0) > 0.0, cell.version, tuple(views)))
         return found
@@ -341,7 +341,7 @@
                 rest = state._replace(aside=(*state.aside[:k], *state.aside[k + 1 :]))
                 yield from self._restart(rest, i, record, "is back with its old disk")
             return
-        tenures = [Plot(self.rules, self.seeds(), self.cells[c]).tenure for c in state.cells]
+        tenures = [Plot(self.rules, self.seeds(), self.cells[c]).replica for c in state.cells]
         found = case((told(t, 0.0, (0, b"")) for t in tenures), (), [m.address for m in self.seeds()])
         chosen = found.chosen()
         if chosen is None or found.waits():
--- /dev/null
+++ b/loomstand/proxy/__main__.py
@@ -0,0 +1,16 @@
+"""`python -m loomstand.proxy`: the proxy on its machine."""
+
+from random import Random
+
+from loomstand.net.driver import Turns
+from loomstand.proxy.program import Proxy
+from loomstand.rpc.sockets import Sockets
+from loomstand.rpc.start import main
+from loomstand.shared.settings import Settings
+
+
+async def make(settings: Settings, turns: Turns) -> Proxy:
+    return Proxy(settings, Sockets(), Random(), turns)
+
+
+main(make)
--- a/loomstand/stile/lists.py
+++ b/loomstand/proxy/instance_view.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Row
+from loomstand.registry.instances import DRAINING, GONE, READY, SILENT, Row
 
 
 @dataclass(slots=True)
@@ -27,7 +27,7 @@
         return SILENT if self.said and all(s == SILENT for s in self.said.values()) else READY
 
 
-class Lists:
+class InstanceView:
     """The union over registries. One that started anew says nothing of a server until it hears of it."""
 
     def __init__(self) -> None:
--- a/loomstand/stile/program.py
+++ b/loomstand/proxy/program.py
@@ -9,28 +9,28 @@
 
 from loomstand import interface as i
 from loomstand.brain import Brain
-from loomstand.furrow.network import Network
-from loomstand.furrow.outside import Outside
 from loomstand.interface import Outcome
 from loomstand.net import http
 from loomstand.net.clients import Client, Front
 from loomstand.net.driver import Streams, Turns
 from loomstand.net.req import Flight, Req
 from loomstand.net.trunk import Trunk
-from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Row
-from loomstand.nursery.brim import SLOTS
-from loomstand.orchard.configuration import ConfigurationError, Limits, parse
-from loomstand.orchard.routes import Table
-from loomstand.orchard.settings import Settings
-from loomstand.orchard.units import address
-from loomstand.orchard.verdict import Verdict
-from loomstand.stile.asked import Asked, Ride
-from loomstand.stile.common import Common
-from loomstand.stile.lanes import Lanes
-from loomstand.stile.lists import Lists
-from loomstand.stile.sessions import Sessions
-from loomstand.stile.terms import COUNT_WITHIN, Fleet, Terms
-from loomstand.stile.told import Told
+from loomstand.proxy.instance_view import InstanceView
+from loomstand.proxy.recount import Told
+from loomstand.proxy.request import Dispatch, ProxyRequest
+from loomstand.proxy.sessions import Sessions
+from loomstand.proxy.shared_clock import SharedClock
+from loomstand.proxy.terms import COUNT_WITHIN, Fleet, Terms
+from loomstand.proxy.upstream import UpstreamPool
+from loomstand.registry.instances import DRAINING, GONE, READY, SILENT, Row
+from loomstand.registry.quota_buckets import SLOTS
+from loomstand.rpc.network import Network
+from loomstand.rpc.outside import Outside
+from loomstand.shared.configuration import ConfigurationError, Limits, parse
+from loomstand.shared.routes import Table
+from loomstand.shared.settings import Settings
+from loomstand.shared.units import address
+from loomstand.shared.verdict import Verdict
 
 # Within a region a connection comes up in 3 ms and a server takes one more; where it doesn't in this time the
 # machine is gone or cut off, and the request has time for another server.
@@ -59,7 +59,7 @@
 }
 
 
-class Stile(Trunk):
+class Proxy(Trunk):
     """One proxy."""
 
     def __init__(
@@ -73,11 +73,11 @@
         self.front = Front(self, self.spare, limits.file_descriptors)
         self.front.own_paths = False
         self.bound(Limits())
-        self.pool = Lanes(self, CONNECT_WITHIN, IDLE_MOST)
+        self.pool = UpstreamPool(self, CONNECT_WITHIN, IDLE_MOST)
         if streams is not None:
             self.front.bind, self.pool.connect = streams.listen, streams.connect
         self.patience = 10.0
-        self.lists = Lists()
+        self.lists = InstanceView()
         self.terms = Terms(settings.bounds, list(settings.zones), settings.zone)
         self.identifiers: dict[int, str] = {}
         self.indices: dict[str, int] = {}
@@ -87,8 +87,8 @@
         self.sure_at: float | None = None
         self.sessions = Sessions(settings, network, self.loop.time, rng, self)
         self.readiness = Outside(self.ready, turns, 4 << 20, 64, 4096, streams)
-        self.begun, self.common = self.loop.time(), Common()
-        self.held: dict[Asked, float] = {}  # those that wait for the start to be over, and when they came
+        self.begun, self.common = self.loop.time(), SharedClock()
+        self.held: dict[ProxyRequest, float] = {}  # wait for the start's end, since
         self.brain = self.begin()
         self.told = Told()
         self.counting_tasks: set[asyncio.Task[None]] = set()
@@ -161,7 +161,7 @@
         at = self.terms.services.at(service)
         return i.Entry(srv, phase, self.terms.zones.at(zone), 0, 0, 1.0, 0, at)
 
-    def misdirected(self, flight: Ride) -> None:
+    def misdirected(self, flight: Dispatch) -> None:
         """Another server has the address: this one is over."""
         id_ = self.identifiers[flight.srv]
         known = self.lists.servers.get(id_)
@@ -231,14 +231,14 @@
 
     def take(self, client: Client, machine: http.RequestReceiver, at: float) -> None:
         """A request has come: if nothing is wrong with it, it is owed one answer from here on."""
-        req = Asked(machine)
+        req = ProxyRequest(machine)
         req.client, client.req = client, req
         if self.table is None or not self.staffed(req):
             self.hold(req, at)
         else:
             self.admit(req, at)
 
-    def staffed(self, req: Asked) -> bool:
+    def staffed(self, req: ProxyRequest) -> bool:
         """Whether somebody is known who could serve it; later on, whoever isn't known isn't there."""
         if self.loop.time() - self.begun > SETTLED:  # first, as each request asks
             return True
@@ -247,14 +247,14 @@
             return True
         return any(weight > 0 and self.by_service.get(service) for service, weight in route.split)
 
-    def hold(self, req: Asked, at: float) -> None:
+    def hold(self, req: ProxyRequest, at: float) -> None:
         """At a start the configuration and the first heartbeats are under way: a request waits for them, as
         all limiters would refuse it alike."""
         self.held[req] = at
         most = HOLD if req.wait is None else min(HOLD, req.wait / 2000)
         self.loop.call_later(most, self.release, req)
 
-    def release(self, req: Asked) -> None:
+    def release(self, req: ProxyRequest) -> None:
         at = self.held.pop(req, None)
         if at is not None and req.client is not None:
             self.admit(req, at)
@@ -264,7 +264,7 @@
         for req in [r for r in self.held if r.client is None or (self.table is not None and self.staffed(r))]:
             self.release(req)
 
-    def admit(self, req: Asked, at: float) -> None:
+    def admit(self, req: ProxyRequest, at: float) -> None:
         """Nothing is wrong with it, or it is answered at once."""
         table = self.table
         if table is None:
@@ -291,7 +291,7 @@
             i.Arrived(req.id, front, plan, plan, digest, req.give_up, 1.0, 0, False, service=at_service)
         )
 
-    def service(self, table: Table, req: Asked) -> str:
+    def service(self, table: Table, req: ProxyRequest) -> str:
         """One of the route's services by weight; where that has no server, another that the route allows."""
         service = table.pick(req.route, self.rng.random())
         if self.by_service.get(service):
@@ -339,7 +339,7 @@
     # the module
 
     def flight(self, req: Req, srv: int, expire: int) -> Flight:
-        return Ride(req, len(req.flights), srv, self.now(), expire, self.identifiers[srv])
+        return Dispatch(req, len(req.flights), srv, self.now(), expire, self.identifiers[srv])
 
     def try_limit(self, req: Req) -> int:
         return req.route.attempts
@@ -364,7 +364,7 @@
             self.over(req)
             self.forget(req)
 
-    def over(self, req: Asked) -> None:
+    def over(self, req: ProxyRequest) -> None:
         """The last word on a request that may have run: a server's own, if one gave it."""
         if req.got is not None:
             self.answer(req, *req.got)
--- a/loomstand/stile/told.py
+++ b/loomstand/proxy/recount.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from loomstand.nursery.brim import SLOTS
+from loomstand.registry.quota_buckets import SLOTS
 
 
 @dataclass(slots=True)
--- a/loomstand/stile/asked.py
+++ b/loomstand/proxy/request.py
@@ -4,7 +4,7 @@
 
 from loomstand.net.http import Malformed, RequestReceiver, number
 from loomstand.net.req import HOP_FIELDS, Flight, Req
-from loomstand.orchard.configuration import Route, Tenant
+from loomstand.shared.configuration import Route, Tenant
 
 # Fields that a server gets from us alone, or never.
 KEPT = HOP_FIELDS | {
@@ -14,7 +14,7 @@
 SLACK_MS = 20  # of a client's time: its answer travels back within this
 
 
-class Asked(Req):
+class ProxyRequest(Req):
     """A request with its route. `got` is the last whole answer of a server; `ran` whether it may have run;
     `afresh` whether it goes by new connections only."""
 
@@ -70,7 +70,7 @@
         return b"%b%b%bloomstand-expected-instance: %b\r\n\r\n%b" % (head, left, name, identifier, self.body)
 
 
-class Ride(Flight):
+class Dispatch(Flight):
     """A dispatch to one server."""
 
     __slots__ = ("identifier",)
--- a/loomstand/stile/sessions.py
+++ b/loomstand/proxy/sessions.py
@@ -10,10 +10,10 @@
 from absl import logging
 from expression import Error, Result
 
-from loomstand.furrow.network import Address, Body, Network
-from loomstand.nursery.beds import Row
-from loomstand.orchard.settings import Settings
-from loomstand.orchard.verdict import Verdict
+from loomstand.registry.instances import Row
+from loomstand.rpc.network import Address, Body, Network
+from loomstand.shared.settings import Settings
+from loomstand.shared.verdict import Verdict
 
 ASK_WITHIN = 1.0  # seconds; a registry answers after 0.6 where there is no news
 # Seconds between two askings of one registry. Where much changes at once, as when all start, each change was
@@ -84,12 +84,12 @@
         for task in tasks:
             task.cancel()
         said = {"name": self.settings.node_name}
-        calls = [self.network.call(self.settings.nursery(ip), "bye", said, 0.2) for ip in self.standing]
+        calls = [self.network.call(self.settings.registry(ip), "bye", said, 0.2) for ip in self.standing]
         await asyncio.gather(*calls)
 
     async def session(self, ip: str) -> None:
         """Asks one registry again and again."""
-        address, pause = self.settings.nursery(ip), AGAIN[0]
+        address, pause = self.settings.registry(ip), AGAIN[0]
         session, have, facts, sure, full = 0, 0, -1, False, 0
         while True:
             said: Body = {"h": have, "f": facts, "c": self.version}
--- a/loomstand/stile/common.py
+++ b/loomstand/proxy/shared_clock.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True)
-class Common:
+class SharedClock:
     """`shift`: tenths by which the common clock is ahead of the own one."""
 
     shift: int = 0
--- a/loomstand/stile/kept.py
+++ b/loomstand/proxy/stale_connections.py
@@ -15,7 +15,7 @@
 MEMORY = 8.0  # seconds for which that counts: such times last some six, and a new connection costs little
 
 
-class Kept:
+class StaleConnections:
     """What was seen of forgotten connections, by service."""
 
     def __init__(self) -> None:
--- a/loomstand/stile/terms.py
+++ b/loomstand/proxy/terms.py
@@ -6,8 +6,8 @@
 
 from loomstand.door import Door, digest, down
 from loomstand.interface import Effect, Frontend, Group, Plan, Settings
-from loomstand.orchard.configuration import Configuration, Route, Tenant
-from loomstand.orchard.settings import Bounds
+from loomstand.shared.configuration import Configuration, Route, Tenant
+from loomstand.shared.settings import Bounds
 
 # Late answers have a worth that the configuration doesn't tell: a tenth and three tenths at the sites known.
 LATE = 0.15
@@ -48,7 +48,7 @@
 
 
 class Terms:
-    """Hands out the module's indices, and makes its settings."""
+    """LimiterTable out the module's indices, and makes its settings."""
 
     def __init__(self, bounds: Bounds, zones: list[str], zone: str) -> None:
         self.bounds = bounds
--- a/loomstand/stile/lanes.py
+++ b/loomstand/proxy/upstream.py
@@ -10,7 +10,7 @@
 from loomstand.net.req import HOP_FIELDS, Flight
 from loomstand.net.roles import Sends
 from loomstand.net.servers import Link, Pool
-from loomstand.stile.kept import Kept
+from loomstand.proxy.stale_connections import StaleConnections
 
 STAYS = re.compile(rb"timeout=([0-9]{1,6})").search
 # A server's idle close and our next request may cross on the way; of a request that can't be repeated nothing
@@ -20,7 +20,7 @@
 UNSTATED = 4.0  # seconds that a connection is kept where the server states nothing: those seen keep ten
 
 
-class Lane(Link):
+class UpstreamConnection(Link):
     """One connection to a server. Answers carry the id of their request; a surplus one is passed over."""
 
     __slots__ = ("surplus",)
@@ -70,14 +70,14 @@
         super().ended(why)
 
 
-class Lanes(Pool):
+class UpstreamPool(Pool):
     """Connections to all servers."""
 
-    link = Lane
+    link = UpstreamConnection
 
     def __init__(self, limiter: Sends, connect_timeout: float, idle_close: float) -> None:
         super().__init__(limiter, connect_timeout, idle_close)
-        self.kept = Kept()
+        self.kept = StaleConnections()
 
     def send(self, flight: Flight) -> None:
         """A request that was lost on a kept connection goes on by a new one, and one that must not run twice
@@ -95,7 +95,7 @@
         super().send(flight)
         self.idle[flight.srv] = older + self.idle.get(flight.srv, [])
 
-    def forgotten(self, lane: Lane) -> None:
+    def forgotten(self, lane: UpstreamConnection) -> None:
         """What was sent on a kept connection broke it. Servers may forget idle connections without a word,
         and many at once: those that were idle longer aren't used again, and the request's other tries, which
         are few, meet no other one that was kept."""
--- a/loomstand/nursery/tally.py
+++ b/loomstand/registry/counters.py
@@ -9,7 +9,7 @@
 YOUNG = 0.7
 
 
-class Tally:
+class Counters:
     """Sums that live as long as their last caller asked for.
 
     `number`: another one where they begin anew. `moved`: another registry counted before, so that they lack
--- a/loomstand/nursery/holding.py
+++ b/loomstand/registry/counting_lease.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from loomstand.furrow.network import Address, Body
+from loomstand.rpc.network import Address, Body
 
 RENEW = 0.4  # s between two askings of the one that has it: a third of the span
 STALE = 3.0  # s after which a term that nobody repeats makes way for a lower one: the store began anew
@@ -14,7 +14,7 @@
 
 
 @dataclass(slots=True)
-class Holding:
+class CountingLease:
     """`host`: this registry's address; `life`: a number of its own for each start."""
 
     host: str
--- a/loomstand/nursery/beats.py
+++ b/loomstand/registry/heartbeats.py
@@ -4,15 +4,15 @@
 
 import json
 
-from loomstand.nursery.beds import DRAINING, READY, Bed
-from loomstand.orchard.units import UnitError, address, seconds
+from loomstand.registry.instances import DRAINING, READY, Instance
+from loomstand.shared.units import UnitError, address, seconds
 
 
 class BadCall(Exception):
     """A call from outside that can't be understood: 400 with these words."""
 
 
-def beat(id_: str, body: bytes, now: float) -> Bed:
+def beat(id_: str, body: bytes, now: float) -> Instance:
     """The server of a heartbeat. Raises BadCall, naming the field."""
     if not id_:
         raise BadCall("of: a server's id is needed")
@@ -33,4 +33,4 @@
             raise ValueError(f"state {state!r}")
     except (ValueError, KeyError, TypeError, UnitError, RecursionError) as why:
         raise BadCall(f"{field}: {type(why).__name__}: {why}") from None
-    return Bed(id_, where, service, zone, slots, state, sequence, now + cold)
+    return Instance(id_, where, service, zone, slots, state, sequence, now + cold)
--- a/loomstand/nursery/beds.py
+++ b/loomstand/registry/instances.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Bed:
+class Instance:
     """One server. `cold_until` is a reading of the clock; `changed` the table's version then."""
 
     id: str
@@ -39,52 +39,52 @@
         return [self.id, self.address, self.service, self.zone, self.slots, self.state, self.sequence, cold]
 
 
-def from_row(row: Row, now: float) -> Bed:
+def from_row(row: Row, now: float) -> Instance:
     """The server of a row. Raises ValueError or TypeError at one that isn't of the form."""
     id_, address, service, zone, slots, state, sequence, cold = row
     if state not in (READY, DRAINING, SILENT, GONE):
         raise ValueError(f"state {state!r}")
     texts = [str(id_), str(address), str(service), str(zone)]
-    return Bed(*texts, int(slots), state, int(sequence), now + float(cold) / 1000)
+    return Instance(*texts, int(slots), state, int(sequence), now + float(cold) / 1000)
 
 
-class Beds:
+class InstanceTable:
     """The table. `version` grows with every change that limiters must hear of."""
 
     def __init__(self, heartbeat: float) -> None:
         self.patience = MISSED * heartbeat
         self.version = 0
-        self.beds: dict[str, Bed] = {}
+        self.instances: dict[str, Instance] = {}
         self.heard: dict[str, float] = {}  # when a server last spoke, to whichever registry
         self.at: dict[str, str] = {}  # by address: who has it
 
-    def take(self, bed: Bed, heard_at: float) -> bool:
+    def take(self, instance: Instance, heard_at: float) -> bool:
         """A server spoke, or another registry tells of it. True if limiters must hear of what changed."""
-        old = self.beds.get(bed.id)
-        if old is not None and bed.sequence <= old.sequence:
+        old = self.instances.get(instance.id)
+        if old is not None and instance.sequence <= old.sequence:
             return False  # a late call
-        if bed.state != SILENT:
-            self.heard[bed.id] = max(self.heard.get(bed.id, heard_at), heard_at)
-        if old is not None and replace(bed, sequence=0, cold_until=0, changed=0) == replace(
+        if instance.state != SILENT:
+            self.heard[instance.id] = max(self.heard.get(instance.id, heard_at), heard_at)
+        if old is not None and replace(instance, sequence=0, cold_until=0, changed=0) == replace(
             old, sequence=0, cold_until=0, changed=0
         ):
             # only the sequence: kept, so that a late call is known, but it is no news
-            self.beds[bed.id] = replace(old, sequence=bed.sequence)
+            self.instances[instance.id] = replace(old, sequence=instance.sequence)
             return False
         self.version += 1
-        self.beds[bed.id] = replace(bed, changed=self.version)
-        holder = self.at.get(bed.address)
-        if bed.state != GONE:
-            if holder is not None and holder != bed.id:
+        self.instances[instance.id] = replace(instance, changed=self.version)
+        holder = self.at.get(instance.address)
+        if instance.state != GONE:
+            if holder is not None and holder != instance.id:
                 self.leave(holder)  # another has its address: it is over
-            self.at[bed.address] = bed.id
-        elif holder == bed.id:
-            del self.at[bed.address]
+            self.at[instance.address] = instance.id
+        elif holder == instance.id:
+            del self.at[instance.address]
         return True
 
     def leave(self, id_: str) -> bool:
         """A server has ended. True if that is news."""
-        old = self.beds.get(id_)
+        old = self.instances.get(id_)
         if old is None or old.state == GONE:
             return False
         return self.take(replace(old, state=GONE, sequence=LAST), self.heard.get(id_, 0.0))
@@ -92,7 +92,7 @@
     def alive(self, id_: str, sequence: int, heard_at: float) -> bool:
         """Another registry heard this beat. False if the server isn't known here, or as silent: its row is
         needed."""
-        old = self.beds.get(id_)
+        old = self.instances.get(id_)
         if old is None:
             return False
         if old.state == GONE:
@@ -100,32 +100,32 @@
         if sequence > old.sequence:
             if old.state == SILENT:
                 return False
-            self.beds[id_] = replace(old, sequence=sequence)
+            self.instances[id_] = replace(old, sequence=sequence)
         self.heard[id_] = max(self.heard.get(id_, heard_at), heard_at)
         return True
 
     def sweep(self, now: float) -> bool:
         """Servers that have been quiet too long are silent, or gone if they were leaving; True if any is."""
         before = self.version
-        for bed in list(self.beds.values()):
-            quiet = now - self.heard.get(bed.id, now)
-            if bed.state == GONE:
+        for instance in list(self.instances.values()):
+            quiet = now - self.heard.get(instance.id, now)
+            if instance.state == GONE:
                 if quiet > REMEMBERED:
-                    del self.beds[bed.id]
-                    self.heard.pop(bed.id, None)
-            elif bed.state == DRAINING and quiet > 2 * self.patience:
-                self.leave(bed.id)
-            elif bed.state == READY and quiet > self.patience:
+                    del self.instances[instance.id]
+                    self.heard.pop(instance.id, None)
+            elif instance.state == DRAINING and quiet > 2 * self.patience:
+                self.leave(instance.id)
+            elif instance.state == READY and quiet > self.patience:
                 self.version += 1
-                self.beds[bed.id] = replace(bed, state=SILENT, changed=self.version)
-            elif bed.state == SILENT and quiet > REMEMBERED:
-                self.leave(bed.id)
+                self.instances[instance.id] = replace(instance, state=SILENT, changed=self.version)
+            elif instance.state == SILENT and quiet > REMEMBERED:
+                self.leave(instance.id)
         return self.version > before
 
     def news(self, have: int, now: float) -> list[Row]:
         """The rows that changed after the version `have`."""
-        return [bed.row(now) for bed in self.beds.values() if bed.changed > have]
+        return [instance.row(now) for instance in self.instances.values() if instance.changed > have]
 
     def rows(self, ids: Iterable[str], now: float) -> Iterator[Row]:
         """The rows of these servers, as far as they are known."""
-        return (bed.row(now) for id_ in ids if (bed := self.beds.get(id_)) is not None)
+        return (instance.row(now) for id_ in ids if (instance := self.instances.get(id_)) is not None)
--- a/loomstand/nursery/hands.py
+++ b/loomstand/registry/limiters.py
@@ -16,7 +16,7 @@
 HELD = 12.0
 
 
-class Hands:
+class LimiterTable:
     """Limiters by name. `version` grows when the set of members, or of silent ones, changes."""
 
     def __init__(self) -> None:
--- a/loomstand/nursery/program.py
+++ b/loomstand/registry/program.py
@@ -13,20 +13,20 @@
 from absl import logging
 from expression import Result
 
-from loomstand.furrow.network import Address, Body, Network
-from loomstand.nursery.beats import BadCall, beat
-from loomstand.nursery.beds import DRAINING, GONE, Beds, from_row
-from loomstand.nursery.brim import Brim
-from loomstand.nursery.clock import Clock
-from loomstand.nursery.hands import Hands
-from loomstand.nursery.holding import Holding
-from loomstand.nursery.matchers import Asked, method, path, query
-from loomstand.nursery.rescue import rescue
-from loomstand.nursery.tally import Tally
-from loomstand.orchard.configuration import ConfigurationError, parse
-from loomstand.orchard.settings import Settings
-from loomstand.orchard.units import address_text
-from loomstand.orchard.verdict import Refused, Verdict
+from loomstand.registry.clock import Clock
+from loomstand.registry.counters import Counters
+from loomstand.registry.counting_lease import CountingLease
+from loomstand.registry.heartbeats import BadCall, beat
+from loomstand.registry.instances import DRAINING, GONE, InstanceTable, from_row
+from loomstand.registry.limiters import LimiterTable
+from loomstand.registry.matchers import Asked, method, path, query
+from loomstand.registry.quota_buckets import QuotaBuckets
+from loomstand.registry.rescue import rescue
+from loomstand.rpc.network import Address, Body, Network
+from loomstand.shared.configuration import ConfigurationError, parse
+from loomstand.shared.settings import Settings
+from loomstand.shared.units import address_text
+from loomstand.shared.verdict import Refused, Verdict
 
 TELL = 1.0  # seconds between what registries tell each other unasked
 TOLD_WITHIN = 0.35  # a drain's acknowledgement waits so long for the others; servers wait a second for it
@@ -38,7 +38,7 @@
 ASK = 0.6  # seconds that a limiter's call waits for news: half of what a session stands
 
 
-class Nursery:
+class Registry:
     """One registry. `clock` is steady, in seconds; `wall` is the time of day at the start, in seconds."""
 
     def __init__(
@@ -46,8 +46,9 @@
     ) -> None:
         self.settings, self.network, self.clock = settings, network, clock
         self.life = f"{time.time_ns() if wall is None else int(wall * 1e9):x}-{settings.ip_address}"
-        self.beds, self.hands, self.tally = Beds(settings.heartbeat), Hands(), Tally(0)
-        self.brim = Brim()
+        self.instances, self.limiters = InstanceTable(settings.heartbeat), LimiterTable()
+        self.counters = Counters(0)
+        self.quota_buckets = QuotaBuckets()
         self.common = Clock((time.time() if wall is None else wall) - clock())
         self.own: dict[str, int] = {}  # the servers that spoke here lately, with their sequence
         self.rng = Random(self.life)
@@ -57,7 +58,7 @@
         self.facts = 0  # grows with what limiters hear beside servers
         self.version, self.data = 0, b""  # the configuration
         self.sure = False  # whether it is known to be the newest: a primary was heard of
-        self.holding = Holding(settings.ip_address, self.rng.getrandbits(32))
+        self.holding = CountingLease(settings.ip_address, self.rng.getrandbits(32))
         self.settled = clock() + SETTLED
         self.turn = asyncio.Event()  # something has changed about who counts
         self.cores: tuple[str, ...] = tuple(sorted({settings.ip_address, *(ip for ip, _ in settings.seeds)}))
@@ -93,7 +94,7 @@
 
     async def run(self) -> None:
         """Serves until `stop`."""
-        await self.network.listen(self.settings.nursery(self.settings.ip_address), self.serve)
+        await self.network.listen(self.settings.registry(self.settings.ip_address), self.serve)
         await asyncio.gather(self.greet(), self.watch(), self.lease(), self.tend())
 
     def stop(self) -> None:
@@ -102,7 +103,7 @@
         self.turn.set()
 
     def others(self) -> list[Address]:
-        return [self.settings.nursery(ip) for ip in self.cores if ip != self.settings.ip_address]
+        return [self.settings.registry(ip) for ip in self.cores if ip != self.settings.ip_address]
 
     def wake(self) -> None:
         """Something limiters hear of has changed."""
@@ -147,32 +148,32 @@
                 raise Refused("no such session")
             session, have, facts = self.begin(str(body["name"])), -1, -1
         name = self.sessions[session]
-        self.hands.spoke(name, self.clock())
+        self.limiters.spoke(name, self.clock())
         self.heed()
         if not self.common.timed and body.get("clock"):  # all registries started anew: the clock goes on
             self.common.told(float(body["clock"]) / 1e4, self.clock())
         theirs, full = int(body["c"]), int(body.get("q", 0)) if not anew else 0
 
         def there() -> bool:
-            known = self.beds.version <= have and self.facts == facts and self.version <= theirs
-            return not known or self.brim.version > full
+            known = self.instances.version <= have and self.facts == facts and self.version <= theirs
+            return not known or self.quota_buckets.version > full
 
         await self.news(there, ASK)
         now = self.clock()
-        self.hands.spoke(name, now)
+        self.limiters.spoke(name, now)
         said: Body = {"s": session} if anew else {}
-        if self.beds.version > have:
-            said |= {"h": self.beds.version, "rows": self.beds.news(have, now)}
+        if self.instances.version > have:
+            said |= {"h": self.instances.version, "rows": self.instances.news(have, now)}
         if self.facts != facts:
             who = self.holding.counter
-            counter = [*self.settings.nursery(who), *self.holding.term] if who else None
+            counter = [*self.settings.registry(who), *self.holding.term] if who else None
             said |= {
-                "f": self.facts, "fleet": self.hands.fleet(name), "counter": counter,
+                "f": self.facts, "fleet": self.limiters.fleet(name), "counter": counter,
                 "cores": list(self.cores), "sure": self.sure,
                 "clock": self.common.tenths(now, self.holding.counts(now)),
             }  # fmt: skip
-        if self.brim.version > full:
-            said |= {"q": self.brim.version, "full": self.brim.news(full)}
+        if self.quota_buckets.version > full:
+            said |= {"q": self.quota_buckets.version, "full": self.quota_buckets.news(full)}
         if self.version > theirs:
             said["c"] = self.version
         elif theirs > self.version:
@@ -190,8 +191,8 @@
 
     def heed(self) -> None:
         """Tells limiters if their set has changed."""
-        if self.hands.version != self.hands_told:
-            self.hands_told = self.hands.version
+        if self.limiters.version != self.hands_told:
+            self.hands_told = self.limiters.version
             self.fact()
 
     async def fetch(self, body: Body) -> Body:
@@ -209,13 +210,13 @@
         if not self.holding.counts(now):
             raise Refused("another counts")
         name, step = int(body["name"]), float(body["step"])
-        total, young = self.tally.add(name, step, float(body["keep"]), now), self.tally.young(now)
-        if self.brim.counted(name, step, total, now, not young):
+        total, young = self.counters.add(name, step, float(body["keep"]), now), self.counters.young(now)
+        if self.quota_buckets.counted(name, step, total, now, not young):
             self.wake()
-        return {"total": total, "counts": self.tally.number} | ({"young": True} if young else {})
+        return {"total": total, "counts": self.counters.number} | ({"young": True} if young else {})
 
     async def bye(self, body: Body) -> Body:
-        self.hands.ended(str(body["name"]), self.clock())
+        self.limiters.ended(str(body["name"]), self.clock())
         self.heed()
         if not body.get("told"):
             await self.tell_all("bye", {"name": body["name"], "told": True}, TOLD_WITHIN)
@@ -224,9 +225,9 @@
     async def whole(self, body: Body) -> Body:
         """For a registry that has just started."""
         now = self.clock()
-        ages = {id_: now - at for id_, at in self.beds.heard.items()}
+        ages = {id_: now - at for id_, at in self.instances.heard.items()}
         return {
-            "rows": self.beds.news(0, now),
+            "rows": self.instances.news(0, now),
             "ages": ages,
             "clock": self.common.at(now),
             "timed": self.common.timed,
@@ -238,18 +239,18 @@
         for row in body.get("rows", ()):
             self.sow(row, now, float(ages.get(row[0], 0.0)))
         alive = body.get("alive", {})
-        unknown = [i for i, (sequence, age) in alive.items() if not self.beds.alive(i, sequence, now - age)]
+        unknown = [i for i, (n, age) in alive.items() if not self.instances.alive(i, n, now - age)]
         for name, age in body.get("hands", {}).items():
-            self.hands.told(name, now - float(age), now)
+            self.limiters.told(name, now - float(age), now)
         if counts := body.get("counts"):
             self.named(None, counts)
         if counts and not self.holding.counts(now) and self.common.told(float(body["clock"]), now):
             self.fact()
         self.heed()
-        return {"unknown": unknown, "same": body.get("crew") == self.hands.crew()}
+        return {"unknown": unknown, "same": body.get("crew") == self.limiters.crew()}
 
     def sow(self, row: list[Any], now: float, age: float) -> None:
-        if self.beds.take(from_row(row, now), now - age):
+        if self.instances.take(from_row(row, now), now - age):
             self.wake()
 
     async def tell_all(self, op: str, body: Body, within: float) -> list[Result[Body, Verdict]]:
@@ -273,17 +274,18 @@
         while not self.stopping:
             await asyncio.sleep(TELL)
             now = self.clock()
-            self.hands.sweep(now)
-            self.tally.sweep(now)
-            if self.beds.sweep(now):
+            self.limiters.sweep(now)
+            self.counters.sweep(now)
+            if self.instances.sweep(now):
                 self.wake()
             self.heed()
             if self.common.lately(now):
                 self.fact()
             heard, self.own = self.own, {}
-            alive = {i: [n, now - self.beds.heard.get(i, now)] for i, n in heard.items()}
+            alive = {i: [n, now - self.instances.heard.get(i, now)] for i, n in heard.items()}
             counts = [*self.holding.term, self.holding.host] if self.holding.counts(now) else None
-            said = {"alive": alive, "crew": self.hands.crew(), "clock": self.common.at(now), "counts": counts}
+            crew = self.limiters.crew()
+            said = {"alive": alive, "crew": crew, "clock": self.common.at(now), "counts": counts}
             for to in self.others():
                 self.spawn(self.tell(to, said))
 
@@ -294,10 +296,10 @@
         more: Body = {}
         if unknown := got.ok.get("unknown"):
             now = self.clock()
-            ages = {i: now - self.beds.heard.get(i, now) for i in unknown}
-            more = {"rows": list(self.beds.rows(unknown, now)), "ages": ages}
+            ages = {i: now - self.instances.heard.get(i, now) for i in unknown}
+            more = {"rows": list(self.instances.rows(unknown, now)), "ages": ages}
         if not got.ok.get("same"):  # it has no session with some limiter that has one here, or the reverse
-            more["hands"] = self.hands.told_of(self.clock())
+            more["hands"] = self.limiters.told_of(self.clock())
         if more:
             await self.network.call(to, "tell", more, TELL)
 
@@ -308,7 +310,7 @@
 
     async def watch(self) -> None:
         """Asks the store beside it for news of the configuration and of the core's machines."""
-        here, heard, mark = self.settings.granary(self.settings.ip_address), self.clock(), 0
+        here, heard, mark = self.settings.store(self.settings.ip_address), self.clock(), 0
         while not self.stopping:
             asked = self.clock()
             said = {"have": self.version, "mark": mark, "within": 0.8}
@@ -328,7 +330,7 @@
         while not self.stopping:
             self.turn.clear()
             if holding.asks():
-                stores = holding.whom([self.settings.granary(ip) for ip in self.cores])
+                stores = holding.whom([self.settings.store(ip) for ip in self.cores])
                 holding.lost = not any(await asyncio.gather(*(self.claim(to) for to in stores)))
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(holding.pause(self.clock()) if holding.asks() else None):
@@ -336,7 +338,7 @@
         if holding.counts(self.clock()):
             holding.until, back = 0.0, holding.body(back=True)
             # all of them: where the whole machine leaves, the reign is just being handed on
-            stores = [self.settings.granary(ip) for ip in self.cores]
+            stores = [self.settings.store(ip) for ip in self.cores]
             await asyncio.gather(*(self.network.call(to, "duty", back, STATUS) for to in stores))
 
     async def claim(self, to: Address) -> bool:
@@ -354,8 +356,9 @@
         if self.holding.heard(self.clock(), primary, duty):
             self.fact()
         if self.holding.gap and not self.holding.counts(self.clock()):
-            self.holding.gap, self.tally = False, Tally(self.rng.getrandbits(24), self.clock() > self.settled)
-            self.brim.anew()
+            self.holding.gap = False
+            self.counters = Counters(self.rng.getrandbits(24), self.clock() > self.settled)
+            self.quota_buckets.anew()
         if before != (self.holding.primary, self.holding.term):
             self.turn.set()
 
@@ -379,7 +382,7 @@
 
     async def give(self) -> None:
         """Gives the store beside it the configuration held here, which that doesn't know to be in force."""
-        here = self.settings.granary(self.settings.ip_address)
+        here = self.settings.store(self.settings.ip_address)
         try:
             await self.network.call(here, "offer", {"version": self.version, "data": self.data}, STORE_WITHIN)
         finally:
@@ -387,20 +390,20 @@
 
     def quotas(self) -> None:
         try:
-            self.brim.learn(parse(self.data).tenants or ())
+            self.quota_buckets.learn(parse(self.data).tenants or ())
         except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
             logging.error("configuration r%d can't be used: %s", self.version, why)
 
     async def store(self, op: str, body: Body, within: float) -> Result[Body, Verdict]:
         """Calls the store: the one beside this registry hands on to the primary; others where it is down."""
         here, until = self.settings.ip_address, self.clock() + within
-        got = await self.network.call(self.settings.granary(here), op, body, within)
+        got = await self.network.call(self.settings.store(here), op, body, within)
         for ip in self.cores:
             left = until - self.clock()
             if got.is_ok() or got.error is not Verdict.NEVER_RAN or left < 0.05:
                 break
             if ip != here:
-                got = await self.network.call(self.settings.granary(ip), op, body, left)
+                got = await self.network.call(self.settings.store(ip), op, body, left)
         return got
 
     # calls from outside
@@ -417,13 +420,13 @@
             return 400, problem(str(why))
 
     async def heartbeat(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
-        bed = beat(asked.query.get("of", ""), body, self.clock())
+        instance = beat(asked.query.get("of", ""), body, self.clock())
         now = self.clock()
-        self.own[bed.id] = max(bed.sequence, self.own.get(bed.id, 0))
-        if self.beds.take(bed, now):
+        self.own[instance.id] = max(instance.sequence, self.own.get(instance.id, 0))
+        if self.instances.take(instance, now):
             self.wake()
-            said = {"rows": list(self.beds.rows([bed.id], now))}
-            if bed.state == DRAINING:
+            said = {"rows": list(self.instances.rows([instance.id], now))}
+            if instance.state == DRAINING:
                 await self.tell_all("tell", said, TOLD_WITHIN)
             else:
                 for to in self.others():
@@ -434,9 +437,9 @@
         id_ = asked.query.get("of", "")
         if not id_:
             raise BadCall("of: a server's id is needed")
-        if self.beds.leave(id_):
+        if self.instances.leave(id_):
             self.wake()
-            await self.tell_all("tell", {"rows": list(self.beds.rows([id_], self.clock()))}, TOLD_WITHIN)
+            await self.tell_all("tell", {"rows": list(self.instances.rows([id_], self.clock()))}, TOLD_WITHIN)
         return 200, b"{}"
 
     async def replace(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
@@ -458,21 +461,21 @@
     async def status(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
         """How the system stands as seen from here, for operators; no key is in it."""
         here = self.settings.ip_address
-        got = await self.network.call(self.settings.granary(here), "status", {}, STATUS)
+        got = await self.network.call(self.settings.store(here), "status", {}, STATUS)
         store = got.ok if got.is_ok() else None
         left = max(0.0, self.holding.until - self.clock())
         servers: dict[str, dict[str, int]] = {}
-        for bed in self.beds.beds.values():
-            if bed.state != GONE:
-                states = servers.setdefault(bed.service, {})
-                states[bed.state] = states.get(bed.state, 0) + 1
+        for instance in self.instances.instances.values():
+            if instance.state != GONE:
+                states = servers.setdefault(instance.service, {})
+                states[instance.state] = states.get(instance.state, 0) + 1
         said = {
             "name": self.settings.node_name, "life": self.life,
             "configuration": {"version": f"r{self.version}", "sure": self.sure},
             "counting": {
                 "by": self.holding.counter or None, "here": left > 0, "left": f"{round(1000 * left)}ms",
             },
-            "limiters": {"present": list(self.hands.present), "missing": list(self.hands.missing)},
+            "limiters": {"present": list(self.limiters.present), "missing": list(self.limiters.missing)},
             "servers": servers, "cores": self.controls(),
             "store": store and {
                 "version": f"r{int(store['version'])}", "epoch": int(store["epoch"]),
@@ -483,7 +486,7 @@
         return 200, json.dumps(said).encode()
 
     async def rescue(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
-        status, said = await rescue(self.network, self.settings.granary(self.settings.ip_address), body)
+        status, said = await rescue(self.network, self.settings.store(self.settings.ip_address), body)
         return status, json.dumps(said).encode()
 
     def controls(self) -> list[str]:
--- a/loomstand/nursery/brim.py
+++ b/loomstand/registry/quota_buckets.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from loomstand.door import TRY, digest
-from loomstand.orchard.configuration import Tenant
+from loomstand.shared.configuration import Tenant
 
 # A bucket is near its brim above this share of its burst. At the usual six tenths of a quota, one of a burst
 # of ten requests is there now and then; at a half, what limiters let in before they hear of it still fits.
@@ -39,7 +39,7 @@
         return self.level > NEAR * self.burst
 
 
-class Brim:
+class QuotaBuckets:
     """All tenants' buckets. `version` grows with each word that limiters need."""
 
     def __init__(self) -> None:
--- a/loomstand/nursery/rescue.py
+++ b/loomstand/registry/rescue.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from loomstand.furrow.network import Address, Network
+from loomstand.rpc.network import Address, Network
 
 WITHIN = 5.0  # seconds: a look and, at the store chosen, all of a rescue
 
--- a/loomstand/nursery/whole.py
+++ b/loomstand/registry/service.py
@@ -5,16 +5,16 @@
 import asyncio
 from collections.abc import Callable
 
-from loomstand.furrow.network import Network
-from loomstand.furrow.outside import Outside
 from loomstand.net.driver import Streams, Turns
-from loomstand.nursery.program import Nursery
-from loomstand.orchard.settings import Settings
+from loomstand.registry.program import Registry
+from loomstand.rpc.network import Network
+from loomstand.rpc.outside import Outside
+from loomstand.shared.settings import Settings
 
 MOST_BODY = 16 << 20  # of a call: a configuration of thousands of routes
 
 
-class Whole(Nursery):
+class RegistryService(Registry):
     """A registry that takes the calls from outside."""
 
     def __init__(
--- a/loomstand/furrow/__init__.py
+++ b/loomstand/rpc/__init__.py
@@ -1,5 +1,5 @@
 """Calls between the system's own processes: `cbor2` in frames over TCP. Operators' words: docs/system.md."""
 
-from loomstand.furrow.network import Address, Network, Serve
+from loomstand.rpc.network import Address, Network, Serve
 
 __all__ = ["Address", "Network", "Serve"]
--- a/loomstand/furrow/network.py
+++ b/loomstand/rpc/network.py
@@ -1,4 +1,4 @@
-"""What a program of the system is handed to call others: real sockets (`sockets.py`) or `weather`."""
+"""What a program of the system is handed to call others: real sockets (`sockets.py`) or `simulation`."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from expression import Result
 
-from loomstand.orchard.verdict import Verdict
+from loomstand.shared.verdict import Verdict
 
 Address = tuple[str, int]
 Body = dict[str, Any]
--- a/loomstand/furrow/sockets.py
+++ b/loomstand/rpc/sockets.py
@@ -11,9 +11,9 @@
 from absl import logging
 from expression import Error, Ok, Result
 
-from loomstand.furrow.frames import Foreign, Reader, pack
-from loomstand.furrow.network import Address, Body, Serve
-from loomstand.orchard.verdict import Refused, Verdict
+from loomstand.rpc.frames import Foreign, Reader, pack
+from loomstand.rpc.network import Address, Body, Serve
+from loomstand.shared.verdict import Refused, Verdict
 
 # Within a region a connection comes up in 3 ms; where it doesn't in this time the machine is gone or cut off.
 CONNECT_WITHIN = 0.5
--- a/loomstand/furrow/start.py
+++ b/loomstand/rpc/start.py
@@ -12,7 +12,7 @@
 from absl import logging
 
 from loomstand.net.driver import Turns
-from loomstand.orchard.settings import Settings, SettingsError, read
+from loomstand.shared.settings import Settings, SettingsError, read
 
 VARIABLE = "LOOMSTAND_CONFIG"
 LOOK = 1.0  # seconds between looks at the settings file, which may change without a signal
--- a/loomstand/orchard/settings.py
+++ b/loomstand/shared/settings.py
@@ -14,7 +14,7 @@
 from types import MappingProxyType
 from typing import Any, Final, TypeVar
 
-from loomstand.orchard.units import Address, UnitError, address, ip, port, seconds, shown
+from loomstand.shared.units import Address, UnitError, address, ip, port, seconds, shown
 
 T = TypeVar("T")
 _NEEDED: Final[Any] = object()
@@ -113,12 +113,12 @@
     losses: Losses
     bounds: Bounds
 
-    def nursery(self, ip: str) -> Address:
-        """Where the nursery of the machine with this IP number listens for the system's own."""
+    def registry(self, ip: str) -> Address:
+        """Where the registry of the machine with this IP number listens for the system's own."""
         return ip, self.internal_ports[0]
 
-    def granary(self, ip: str) -> Address:
-        """Where the granary of the machine with this IP number listens."""
+    def store(self, ip: str) -> Address:
+        """Where the store of the machine with this IP number listens."""
         return ip, self.internal_ports[0] + 1
 
 
@@ -201,7 +201,7 @@
     if len(items) != 2:
         raise UnitError(f"{shown(text)} is not a first and a last port")
     first, last = port(items[0]), port(items[1])
-    if last <= first:  # the nursery takes the first, the granary the next
+    if last <= first:  # the registry takes the first, the store the next
         raise UnitError(f"{shown(text)} leaves fewer than two ports")
     return first, last
 
--- a/loomstand/weather/gauges.py
+++ b/loomstand/simulation/bounds.py
@@ -12,7 +12,7 @@
 from itertools import zip_longest
 from math import inf
 
-from loomstand.orchard.settings import Bounds
+from loomstand.shared.settings import Bounds
 
 CORE = "core"  # the kind of a pair that only trouble of the core touches
 SMALL = 60  # requests a window, under which a quota's leeway is mostly `quota_slack`: 6 of 26
--- a/loomstand/weather/town.py
+++ b/loomstand/simulation/cluster.py
@@ -9,21 +9,21 @@
 from typing import Any
 
 from loomstand.brain import Brain
-from loomstand.granary.program import Granary, Place
 from loomstand.interface import Entry
-from loomstand.nursery.beds import READY
-from loomstand.nursery.whole import Whole
-from loomstand.orchard.settings import Settings, parse
-from loomstand.orchard.verdict import Refused
-from loomstand.stile.program import Stile
-from loomstand.weather.book import Book, exchange
-from loomstand.weather.disk import Platter
-from loomstand.weather.gauges import Told
-from loomstand.weather.loop import Life, VirtualLoop
-from loomstand.weather.machine import Factory
-from loomstand.weather.network import Sky
-from loomstand.weather.people import Client, Operator, Server
-from loomstand.weather.streams import Address, Cables, Host, Streams
+from loomstand.proxy.program import Proxy
+from loomstand.registry.instances import READY
+from loomstand.registry.service import RegistryService
+from loomstand.shared.settings import Settings, parse
+from loomstand.shared.verdict import Refused
+from loomstand.simulation.bounds import Told
+from loomstand.simulation.http_log import Book, exchange
+from loomstand.simulation.loop import Life, VirtualLoop
+from loomstand.simulation.machine import Factory
+from loomstand.simulation.network import SimNetwork
+from loomstand.simulation.sim_disk import Platter
+from loomstand.simulation.streams import Address, Cables, Host, Streams
+from loomstand.simulation.workload import Client, Operator, Server
+from loomstand.store.program import Place, Store
 
 ZONES = "east", "west"
 CONTROL, FRONT, READINESS, SERVING = 8783, 8782, 8789, 8080
@@ -65,7 +65,7 @@
         return self.since
 
 
-class Proxy(Stile):
+class SimProxy(Proxy):
     """A proxy on the loop's clock, whose own troubles fail the test."""
 
     def __init__(
@@ -121,13 +121,13 @@
         await self.ended.wait()
 
 
-class Town:
+class Cluster:
     """`cores` core machines with a registry and a store each, `proxies`, and the servers of each service."""
 
     def __init__(self, seed: int = 1, cores: int = 3, proxies: int = 4, servers: int = 3) -> None:
         self.loop = VirtualLoop()
         self.rng, self.book = Random(seed), Book()
-        self.sky = Sky(Random(self.rng.getrandbits(64)))
+        self.sky = SimNetwork(Random(self.rng.getrandbits(64)))
         self.cables = Cables(self.sky, Random(self.rng.getrandbits(64)))
         self.first = True
         self.told: list[Told] = []  # what came into force at proxies, all of their lives
@@ -135,10 +135,10 @@
         self.steps: dict[str, float] = {}  # s by which a machine's time of day was set off
         self.core_ips = [f"10.1.0.{n + 1}" for n in range(cores)]
         self.controls = [(ip, CONTROL) for ip in self.core_ips]
-        self.nurseries = {ip: self.host(ip, self.nursery(ip)) for ip in self.core_ips}
-        self.stores = {ip: self.host(ip, self.store(ip)) for ip in self.core_ips}
+        self.registries = {ip: self.host(ip, self.registry_factory(ip)) for ip in self.core_ips}
+        self.stores = {ip: self.host(ip, self.store_factory(ip)) for ip in self.core_ips}
         self.proxies = {f"10.2.0.{n + 1}": Host for n in range(proxies)}
-        self.proxies = {ip: self.host(ip, self.proxy(ip)) for ip in self.proxies}
+        self.proxies = {ip: self.host(ip, self.proxy_factory(ip)) for ip in self.proxies}
         self.loop.set_exception_handler(self.failed)
         self.do(self.people(servers))
         self.versions: dict[int, bytes] = {}
@@ -167,30 +167,31 @@
         """The time of day as a machine has it; programs read it when they start."""
         return WALL + self.loop.time() + self.steps.get(ip, 0.0) + rng.uniform(-0.2, 0.2)
 
-    def nursery(self, ip: str) -> Factory:
+    def registry_factory(self, ip: str) -> Factory:
         def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
             streams = Streams(self.cables, ip, air.life)
             return Runs(
-                Whole(self.settings(ip), air, Virtual(), clock, self.wall(ip, rng), streams)  # type: ignore[arg-type]
+                RegistryService(self.settings(ip), air, Virtual(), clock, self.wall(ip, rng), streams)  # type: ignore[arg-type]
             )
 
         return make
 
-    def store(self, ip: str) -> Factory:
+    def store_factory(self, ip: str) -> Factory:
         def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
             settings = self.settings(ip)
-            seeds = tuple(settings.granary(seed) for seed, _ in settings.seeds)
-            place = Place(settings.granary(ip), seeds, settings.first_start)
-            return Granary(place, air, disk, clock, rng)
+            seeds = tuple(settings.store(seed) for seed, _ in settings.seeds)
+            place = Place(settings.store(ip), seeds, settings.first_start)
+            return Store(place, air, disk, clock, rng)
 
         return make
 
-    def proxy(self, ip: str) -> Factory:
+    def proxy_factory(self, ip: str) -> Factory:
         def make(air: Any, disk: Any, clock: Any, rng: Random) -> Any:
             streams = Streams(self.cables, ip, air.life)
             self.lives += 1
             wall = self.wall(ip, rng)
-            return Runs(Proxy(self.settings(ip), air, rng, streams, wall, self.book, self.told, self.lives))
+            made = SimProxy(self.settings(ip), air, rng, streams, wall, self.book, self.told, self.lives)
+            return Runs(made)
 
         return make
 
@@ -252,7 +253,7 @@
 
     async def begin(self) -> None:
         """All start; the operator sends the first configuration; the platform finds all proxies ready."""
-        for host in (*self.stores.values(), *self.nurseries.values(), *self.proxies.values()):
+        for host in (*self.stores.values(), *self.registries.values(), *self.proxies.values()):
             host.start()
         for server in (s for many in self.servers.values() for s in many):
             server.start()
@@ -282,14 +283,14 @@
         got = await exchange(streams or self.streams("10.7.0.1"), (ip, READINESS), raw, 0.9)
         return got is not None and got.status == 200
 
-    def stile(self, ip: str) -> Proxy:
+    def proxy(self, ip: str) -> SimProxy:
         return self.proxies[ip].programs[0].inner
 
-    def registry(self, ip: str) -> Whole:
-        return self.nurseries[ip].programs[0].inner
+    def registry(self, ip: str) -> RegistryService:
+        return self.registries[ip].programs[0].inner
 
-    def all_stiles(self) -> list[Proxy]:
-        return [self.stile(ip) for ip, host in self.proxies.items() if host.runs]
+    def all_proxies(self) -> list[SimProxy]:
+        return [self.proxy(ip) for ip, host in self.proxies.items() if host.runs]
 
     def counting(self) -> str:
         """The core machine whose registry counts."""
@@ -299,12 +300,12 @@
 
     def counters(self) -> list[str]:
         """All that would count, the frozen ones as they thaw."""
-        up = [self.registry(ip) for ip, host in self.nurseries.items() if host.up and host.programs]
+        up = [self.registry(ip) for ip, host in self.registries.items() if host.up and host.programs]
         return [r.holding.host for r in up if r.holding.counts(r.clock())]
 
     def counts(self, ip: str) -> bool:
         """Whether the registry of a core machine counts now."""
-        return self.nurseries[ip].runs and ip in self.counters()
+        return self.registries[ip].runs and ip in self.counters()
 
     def serves(self, ip: str) -> bool:
         """Whether the store of a core machine serves now as primary."""
@@ -312,21 +313,21 @@
             return False
         store = self.stores[ip].programs[0]
         try:
-            return store.tenure.lease_left(store.clock()) > 0.0
+            return store.replica.lease_left(store.clock()) > 0.0
         except Refused:  # it reads its disk yet
             return False
 
     def core(self, ip: str) -> tuple[Host, Host]:
-        return self.nurseries[ip], self.stores[ip]
+        return self.registries[ip], self.stores[ip]
 
     async def going_back(self) -> None:
         """Looks all the while that no proxy takes a lower version in its life."""
-        held: dict[Proxy, int] = {}
+        held: dict[SimProxy, int] = {}
         while True:
-            for stile in self.all_stiles():
-                version = stile.table.version if stile.table else 0
-                assert held.get(stile, 0) <= version, f"{stile.conf.node_name} went back"
-                held[stile] = version
+            for proxy in self.all_proxies():
+                version = proxy.table.version if proxy.table else 0
+                assert held.get(proxy, 0) <= version, f"{proxy.conf.node_name} went back"
+                held[proxy] = version
             await asyncio.sleep(0.02)
 
     # the configuration
--- a/loomstand/weather/troubles.py
+++ b/loomstand/simulation/faults.py
@@ -14,10 +14,10 @@
 from contextlib import asynccontextmanager
 from random import Random
 
-from loomstand.weather.gauges import CORE, Drain, History, Span
-from loomstand.weather.people import Server
-from loomstand.weather.streams import Host
-from loomstand.weather.town import Town
+from loomstand.simulation.bounds import CORE, Drain, History, Span
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.streams import Host
+from loomstand.simulation.workload import Server
 
 LIMITERS = ["proxy", "herd", "herd", "term", "part", "part", "part", "freeze_proxy", "slow_proxy", "step"]
 CORES = [
@@ -37,12 +37,12 @@
 LEAVES = 3.0  # s that a server goes on after its drain was acknowledged: `drain` and a little more
 
 
-class Troubles:
-    """Troubles of one town. `lasts`: the lengths to draw from, in seconds."""
+class Faults:
+    """Faults of one town. `lasts`: the lengths to draw from, in seconds."""
 
     def __init__(
         self,
-        town: Town,
+        town: Cluster,
         rng: Random,
         history: History | None = None,
         lasts: tuple[float, ...] = (0.3, 1.0, 3.0),
@@ -130,11 +130,11 @@
         """The counting registry is lost, its counts with it; the store beside it goes on."""
         ip = self.a_core()
         async with self.span(CORE, "registry killed", [ip], True):
-            await self.down([self.town.nurseries[ip]], False)
+            await self.down([self.town.registries[ip]], False)
 
     async def all_core(self) -> None:
         async with self.span(CORE, "all of the core killed", self.town.core_ips, True, False):
-            await self.down([*self.town.stores.values(), *self.town.nurseries.values()], False)
+            await self.down([*self.town.stores.values(), *self.town.registries.values()], False)
 
     # processes and disks
 
--- a/loomstand/weather/hunt.py
+++ b/loomstand/simulation/hunt.py
@@ -1,4 +1,4 @@
-"""`python -m loomstand.weather.hunt`: many drawn days of a whole town; the worst figures, and their days."""
+"""`python -m loomstand.simulation.hunt`: many drawn days of a whole cluster; the worst figures."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from math import inf
 from pathlib import Path
 
-from loomstand.weather.day import Day, Setup
-from loomstand.weather.gauges import Figure, History, judge
+from loomstand.simulation.bounds import Figure, History, judge
+from loomstand.simulation.scenario import Day, Setup
 
 NEAR = 12.0  # s before and after the worst moment that a narrative tells
 
@@ -100,7 +100,7 @@
 
 def main(words: list[str] | None = None) -> int:
     """1 if a judged bound is broken, else 0."""
-    parser = argparse.ArgumentParser(prog="python -m loomstand.weather.hunt", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python -m loomstand.simulation.hunt", description=__doc__)
     parser.add_argument("--days", type=whole, default=20, help="how many to play")
     parser.add_argument("--seed", type=int, default=1, help="of the first day; the others follow by one")
     parser.add_argument("--limiters", type=whole, default=12)
--- a/loomstand/weather/machine.py
+++ b/loomstand/simulation/machine.py
@@ -8,9 +8,9 @@
 from random import Random
 from typing import Any, Protocol
 
-from loomstand.weather.disk import Platter, SimDisk
-from loomstand.weather.loop import Life
-from loomstand.weather.network import Air, Sky
+from loomstand.simulation.loop import Life
+from loomstand.simulation.network import MachineNetwork, SimNetwork
+from loomstand.simulation.sim_disk import Platter, SimDisk
 
 
 class Program(Protocol):
@@ -20,7 +20,7 @@
 
 
 Clock = Callable[[], float]
-Factory = Callable[[Air, SimDisk, Clock, Random], Program]
+Factory = Callable[[MachineNetwork, SimDisk, Clock, Random], Program]
 
 
 @dataclass(slots=True, eq=False)
@@ -28,7 +28,7 @@
     """A host with its disk and the programs that its factories make, each start anew."""
 
     host: str
-    sky: Sky
+    sky: SimNetwork
     rng: Random
     factories: list[Factory]
     platter: Platter
@@ -56,7 +56,8 @@
             for make in self.factories:
                 clock = lambda: loop.time() * self.rate + self.skew  # noqa: E731
                 seeded = Random(self.rng.getrandbits(64))
-                program = make(Air(self.sky, self.host, life), SimDisk(self.platter), clock, seeded)
+                network = MachineNetwork(self.sky, self.host, life)
+                program = make(network, SimDisk(self.platter), clock, seeded)
                 self.programs.append(program)
                 loop.create_task(program.run()).add_done_callback(_ended)
 
@@ -100,7 +101,7 @@
 
 
 def machines(
-    sky: Sky, rng: Random, hosts: list[str], factories: Callable[[str], list[Factory]]
+    sky: SimNetwork, rng: Random, hosts: list[str], factories: Callable[[str], list[Factory]]
 ) -> dict[str, Machine]:
     """Machines by host, each with an empty disk and a clock of its own; none is started."""
     return {
--- a/loomstand/weather/network.py
+++ b/loomstand/simulation/network.py
@@ -14,9 +14,9 @@
 
 from expression import Error, Ok, Result
 
-from loomstand.furrow import Address, Serve
-from loomstand.orchard.verdict import Refused, Verdict
-from loomstand.weather.loop import LIFE, Life
+from loomstand.rpc import Address, Serve
+from loomstand.shared.verdict import Refused, Verdict
+from loomstand.simulation.loop import LIFE, Life
 
 DELAY = (0.0005, 0.004)  # s one way: machines of one region, and of neighbouring ones
 Body = dict[str, Any]
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class Sky:
+class SimNetwork:
     rng: Random
     listeners: dict[Address, Listener] = field(default_factory=dict)
     off: set[str] = field(default_factory=set)  # hosts without power
@@ -76,10 +76,10 @@
 
 
 @dataclass(slots=True)
-class Air:
+class MachineNetwork:
     """A machine's Network, for one life."""
 
-    sky: Sky
+    sky: SimNetwork
     host: str
     life: Life
     met: dict[Address, Life] = field(default_factory=dict)  # connections that stand
--- a/loomstand/weather/day.py
+++ b/loomstand/simulation/scenario.py
@@ -8,10 +8,10 @@
 from random import Random
 from typing import Any
 
-from loomstand.orchard.settings import Bounds
-from loomstand.weather.gauges import Change, History, Ran
-from loomstand.weather.town import Town
-from loomstand.weather.troubles import CORES, LIMITERS, SERVERS, Troubles
+from loomstand.shared.settings import Bounds
+from loomstand.simulation.bounds import Change, History, Ran
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.faults import CORES, LIMITERS, SERVERS, Faults
 
 LOOK = 0.01  # s between looks at who serves and who counts
 # s of calm at the end: what is under way comes into force, or is late beyond every bound.
@@ -53,9 +53,9 @@
         rng = self.rng = Random(seed)
         self.setup = setup or Setup()
         cores = self.setup.cores or rng.choice((3, 3, 4))
-        self.town = Town(rng.getrandbits(32), cores, self.setup.limiters, self.setup.servers)
+        self.town = Cluster(rng.getrandbits(32), cores, self.setup.limiters, self.setup.servers)
         self.history = History([*self.town.proxies])
-        self.troubles = Troubles(self.town, Random(rng.getrandbits(32)), self.history, LENGTHS)
+        self.troubles = Faults(self.town, Random(rng.getrandbits(32)), self.history, LENGTHS)
         rates = [rate * self.setup.quotas for rate in RATES]
         self.loads = [Load(f"t{n}", rate, rate * rng.uniform(0.8, 1.4)) for n, rate in enumerate(rates)]
         self.town.usual()
--- a/loomstand/weather/streams.py
+++ b/loomstand/simulation/streams.py
@@ -18,10 +18,10 @@
 
 from loomstand.net.driver import Wire
 from loomstand.net.endings import Ending
-from loomstand.orchard.verdict import Refused
-from loomstand.weather.loop import Life
-from loomstand.weather.machine import Machine
-from loomstand.weather.network import DELAY, Listener, Sky
+from loomstand.shared.verdict import Refused
+from loomstand.simulation.loop import Life
+from loomstand.simulation.machine import Machine
+from loomstand.simulation.network import DELAY, Listener, SimNetwork
 
 Address = tuple[str, int]
 WINDOW = 16384  # bytes that an end takes which its process hasn't read: windows are small
@@ -52,14 +52,14 @@
         for address in [a for a, at in self.sky.listeners.items() if at is self]:
             del self.sky.listeners[address]
 
-    sky: Sky = field(kw_only=True)
+    sky: SimNetwork = field(kw_only=True)
 
 
 @dataclass(slots=True)
 class Cables:
     """All connections under a sky. `ends` has each until its process and its kernel are done with it."""
 
-    sky: Sky
+    sky: SimNetwork
     rng: Random
     ends: set[End] = field(default_factory=set)
 
--- /dev/null
+++ b/loomstand/store/__main__.py
@@ -0,0 +1,49 @@
+"""`python -m loomstand.store`: the store on its machine."""
+
+import asyncio
+import os
+import sys
+from random import Random
+
+from loomstand.net.driver import Turns
+from loomstand.rpc.sockets import Sockets
+from loomstand.rpc.start import main
+from loomstand.shared.settings import Settings
+from loomstand.store.disk import LmdbDisk
+from loomstand.store.program import Place, Store
+
+
+class StoreProcess:
+    """The store with its settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        shelf = LmdbDisk(os.path.join(settings.data_directory, "granary"))
+        clock = asyncio.get_running_loop().time
+        self.store = Store(place(settings), Sockets(), shelf, clock, Random())
+        self.parting: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        await self.store.run()
+
+    def stop(self) -> None:
+        """Leaves: what it holds goes to another first."""
+        if self.parting is None:
+            self.parting = asyncio.get_running_loop().create_task(self.store.stop())
+
+    def reload(self, settings: Settings) -> None:
+        """The seeds may be others now."""
+        self.store.place = place(settings)
+
+
+def place(settings: Settings) -> Place:
+    seeds = tuple(settings.store(ip) for ip, _ in settings.seeds)
+    return Place(settings.store(settings.ip_address), seeds, settings.first_start)
+
+
+async def make(settings: Settings, turns: Turns) -> StoreProcess:
+    if not settings.data_directory:
+        sys.exit("self.data_directory: missing; the store needs a disk")
+    return StoreProcess(settings)
+
+
+main(make)
--- a/loomstand/granary/shelf.py
+++ b/loomstand/store/disk.py
@@ -1,4 +1,4 @@
-"""The disk of a granary: named pages, written together or not at all, and synced before a write is over."""
+"""The disk of a store: named pages, written together or not at all, and synced before a write is over."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
         ...
 
 
-class Shelf:
+class LmdbDisk:
     """A Disk in `folder`, over lmdb. One thread does all its work, so that writes keep their order."""
 
     def __init__(self, folder: str | Path) -> None:
@@ -66,7 +66,7 @@
             if any(int.from_bytes(p[:_CRC]) != crc32(p[_CRC:]) for p in pages.values()):
                 raise ValueError("a page's sum is wrong")
         except (*DAMAGE, ValueError) as error:
-            logging.error("granary: its disk is damaged, it starts as another member: %s", error)
+            logging.error("store: its disk is damaged, it starts as another member: %s", error)
             self._shut()
             shutil.rmtree(self.folder, ignore_errors=True)
             return {}
--- a/loomstand/granary/duty.py
+++ b/loomstand/store/duty.py
@@ -1,6 +1,6 @@
 """Who counts for the quotas: the duty that the serving primary lets out to one registry at a time.
 
-A machine without clock, disk or net; every granary has one, as any may come to serve. `now` is always a
+A machine without clock, disk or net; every store has one, as any may come to serve. `now` is always a
 steady clock's seconds. What holds it together:
 
 - The duty is let out for a span that ends within the primary's own lease. The registry counts the span from
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from loomstand.granary.tenure import HOLD, LEASE
+from loomstand.store.replica import HOLD, LEASE
 
 SPAN = LEASE  # s at the most: three askings, so that two may be lost
 LONGER = HOLD / LEASE  # the primary waits by so much longer: clocks' rates may differ by 4 %
@@ -36,7 +36,7 @@
 class Duty:
     """`named`: the host that has the duty or may have it first; "" where anybody may."""
 
-    beside: str  # the host of this granary
+    beside: str  # the host of this store
     number: int = 0
     named: str = ""
     life: int = 0  # of that registry, as it said
--- a/loomstand/granary/lending.py
+++ b/loomstand/store/duty_calls.py
@@ -1,4 +1,4 @@
-"""The counting duty at a granary: what it says and hears of it, and its answers to registries that ask."""
+"""The counting duty at a store: what it says and hears of it, and its answers to registries that ask."""
 
 from __future__ import annotations
 
@@ -9,16 +9,16 @@
 import cbor2
 from absl import logging
 
-from loomstand.granary.desk import Body, Desk
-from loomstand.granary.duty import Duty
-from loomstand.granary.tenure import ABSENT, SILENT
-from loomstand.orchard.verdict import Refused
+from loomstand.shared.verdict import Refused
+from loomstand.store.duty import Duty
+from loomstand.store.replica import ABSENT, SILENT
+from loomstand.store.replica_io import Body, Desk
 
-ASKED = 0.35  # s for which an asking waits until this granary serves: the asker waits 0.4
+ASKED = 0.35  # s for which an asking waits until this store serves: the asker waits 0.4
 
 
 class Lending:
-    """`changed` waits until something has changed at the granary; `tell` brings others what `says` does."""
+    """`changed` waits until something has changed at the store; `tell` brings others what `says` does."""
 
     def __init__(
         self,
@@ -29,20 +29,20 @@
     ) -> None:
         """`pages`: what is on the disk at the start."""
         self.desk, self.changed, self.tell = desk, changed, tell
-        self.duty, self.turn = Duty(desk.tenure.me.address[0]), asyncio.Lock()
+        self.duty, self.turn = Duty(desk.replica.me.address[0]), asyncio.Lock()
         # when the newest primary known last said that it serves, and until when nobody else does
         self.word, self.serves = -1e9, -1e9
-        tenure = desk.tenure
-        view = tenure.record.view
-        if view is not None and view.primary.id == tenure.me.id and "duty" in pages:
-            self.duty.wake(tenure.started, view.epoch, cbor2.loads(pages["duty"]))
+        replica = desk.replica
+        view = replica.record.view
+        if view is not None and view.primary.id == replica.me.id and "duty" in pages:
+            self.duty.wake(replica.started, view.epoch, cbor2.loads(pages["duty"]))
 
     def left(self) -> float:
-        """Seconds for which this granary serves."""
-        return self.desk.tenure.lease_left(self.desk.clock())
+        """Seconds for which this store serves."""
+        return self.desk.replica.lease_left(self.desk.clock())
 
     def begin(self) -> None:
-        """The granary begins to serve."""
+        """The store begins to serve."""
         self.duty.begin(self.desk.clock())
         self.duty.lapse(self.desk.clock())
         self.tell()  # so that those who may count ask at once
@@ -58,7 +58,7 @@
 
     def told(self) -> list[Any] | None:
         """[epoch, number, host] of the duty as it's known here."""
-        duty, view = self.duty, self.desk.tenure.record.view
+        duty, view = self.duty, self.desk.replica.record.view
         if view is not None and self.left() > 0.0:
             duty.epoch = max(duty.epoch, view.epoch)
         return [duty.epoch, duty.number, duty.named] if duty.epoch else None
@@ -76,7 +76,7 @@
     def heed(self, body: Body, at: float) -> None:
         """A beat, or the answer to one that was sent at that time: whether the newest primary serves, and who
         counts."""
-        view, said = self.desk.tenure.base(), body.get("duty")
+        view, said = self.desk.replica.base(), body.get("duty")
         if view is None or (body["epoch"], body["member"][0]) != (view.epoch, view.primary.id) or not said:
             return
         self.word, self.serves = max(self.word, at), max(self.serves, at + int(said[2]) / 1000)
@@ -88,11 +88,11 @@
         Either the primary has said that it serves for so long; or it's gone, but not for long, and so many
         electors are in reach that nobody can have taken over unheard: nobody waits for a takeover then.
         """
-        tenure, now = self.desk.tenure, self.desk.clock()
+        replica, now = self.desk.replica, self.desk.clock()
         if self.left() > 0.0 or now < self.serves:
             return True
-        near = {tenure.me.id, *(i for i, at in tenure.heard.items() if now - at < SILENT)}
-        view = tenure.base()
+        near = {replica.me.id, *(i for i, at in replica.heard.items() if now - at < SILENT)}
+        view = replica.base()
         return view is not None and now - self.word < ABSENT and view.agreed(near)
 
     async def asked(self, body: Body) -> Body:
@@ -130,5 +130,5 @@
         return {"span": span, "duty": self.told()}
 
     def _let(self) -> None:
-        logging.info("granary: %s", f"{self.duty.named} counts" if self.duty.named else "anybody may count")
+        logging.info("store: %s", f"{self.duty.named} counts" if self.duty.named else "anybody may count")
         self.tell()
--- a/loomstand/granary/program.py
+++ b/loomstand/store/program.py
@@ -1,4 +1,4 @@
-"""A granary: the tenure driven by calls and a clock, and the configuration served to nurseries."""
+"""A store: the replica driven by calls and a clock, and the configuration served to registries."""
 
 from __future__ import annotations
 
@@ -11,35 +11,35 @@
 from absl import logging
 from expression import Result
 
-from loomstand.furrow import Address, Network
-from loomstand.granary.aid import Aid
-from loomstand.granary.campaign import Release, campaign
-from loomstand.granary.desk import CALL, Body, Desk
-from loomstand.granary.lending import Lending
-from loomstand.granary.shelf import Disk
-from loomstand.granary.tenure import ABSENT, BEAT, Plan, State, Step, Tenure
-from loomstand.granary.views import Member, Record, View
-from loomstand.granary.waking import wake
-from loomstand.orchard.verdict import Refused, Verdict
+from loomstand.rpc import Address, Network
+from loomstand.shared.verdict import Refused, Verdict
+from loomstand.store.disk import Disk
+from loomstand.store.duty_calls import Lending
+from loomstand.store.election import Release, campaign
+from loomstand.store.recovery import wake
+from loomstand.store.replica import ABSENT, BEAT, Plan, Replica, State, Step
+from loomstand.store.replica_io import CALL, Body, Desk
+from loomstand.store.rescue_calls import RescueCalls
+from loomstand.store.views import Member, Record, View
 
 ANSWER = 0.85  # s in which a change is acknowledged or refused
 TICK = 0.1  # s between two looks at what is due
 HOPS = 2  # how often a change or a question is handed on
 FRESH = 0.4  # s for which the serving primary holds back an answer to `wait`: a third of the lease
-PARTING = 3.0  # s that a leaving granary gives others to take its places: half of the grace period
+PARTING = 3.0  # s that a leaving store gives others to take its places: half of the grace period
 
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Where a granary stands: its own address, the granaries' addresses at the seeds, whether all is new."""
+    """Where a store stands: its own address, the stores' addresses at the seeds, whether all is new."""
 
     address: Address
     seeds: tuple[Address, ...]
     first_start: bool
 
 
-class Granary:
-    """Serves other granaries and nurseries by `network.listen` at its address (see `serve`)."""
+class Store:
+    """Serves other stores and registries by `network.listen` at its address (see `serve`)."""
 
     def __init__(
         self, place: Place, network: Network, disk: Disk, clock: Callable[[], float], rng: Random
@@ -53,7 +53,7 @@
         self.beating: set[Address] = set()
         self.pulling = False
         self.stopped = asyncio.Event()
-        self.aid = Aid(lambda: self.desk, self.busy, rng, self._crown)
+        self.aid = RescueCalls(lambda: self.desk, self.busy, rng, self._crown)
         self._lending: Lending | None = None
 
     @property
@@ -69,8 +69,8 @@
         return self._lending
 
     @property
-    def tenure(self) -> Tenure:
-        return self.desk.tenure
+    def replica(self) -> Replica:
+        return self.desk.replica
 
     # --- life
 
@@ -82,16 +82,16 @@
             return
         record, pages = woken
         me = Member(record.id, self.place.address)
-        tenure = Tenure(me, self.place.seeds, record, started, self.rng)
-        self._desk = Desk(tenure, self.network, self.disk, self.clock)
+        replica = Replica(me, self.place.seeds, record, started, self.rng)
+        self._desk = Desk(replica, self.network, self.disk, self.clock)
         self._lending = Lending(self._desk, lambda: self.changed.wait(), self._let, pages)
-        logging.info("granary: member %s at %s, %s", me.id, me.address[0], record.view or "no view yet")
+        logging.info("store: member %s at %s, %s", me.id, me.address[0], record.view or "no view yet")
         await self.network.listen(self.place.address, self.serve)
         beat = -1e9
         while not self.stopped.is_set():
             now = self.clock()
             # after a start of all, whoever is primary by its disk asks for the lease as others come up
-            eager = tenure.owns() and not tenure.leads(now)
+            eager = replica.owns() and not replica.leads(now)
             if now - beat >= (TICK if eager else BEAT) - TICK / 2:
                 beat = now
                 self._beats()
@@ -107,22 +107,22 @@
     async def stop(self) -> None:
         """Leaves: others take its places first, if there are any."""
         if self._desk is not None:
-            logging.info("granary: leaves")
-            self.tenure.state = State.LEAVING
+            logging.info("store: leaves")
+            self.replica.state = State.LEAVING
             self._beats()
             until = self.clock() + PARTING
-            while self.clock() < until and not self.tenure.free(self.clock()):
+            while self.clock() < until and not self.replica.free(self.clock()):
                 await asyncio.sleep(TICK)
         self.stopped.set()
 
     def _tick(self, now: float) -> None:
         self.desk.examine(now)
-        self.tenure.seed(now, self.place.seeds)
-        self.tenure.forget(now)
+        self.replica.seed(now, self.place.seeds)
+        self.replica.forget(now)
         self._crown()
-        if self.tenure.fenced() and not self.desk.pen.locked():
-            self.desk.spawn(self.desk.ink(lambda now: self.tenure.fenced() or self.tenure.record))
-        if not self.busy.locked() and self.tenure.due(now) is not None:
+        if self.replica.fenced() and not self.desk.pen.locked():
+            self.desk.spawn(self.desk.ink(lambda now: self.replica.fenced() or self.replica.record))
+        if not self.busy.locked() and self.replica.due(now) is not None:
             self.desk.spawn(self._act())
         self.lending.tick()
         self._bump()
@@ -133,37 +133,37 @@
         self._bump()
 
     def _crown(self) -> None:
-        if self.tenure.crown(self.clock()):
-            logging.info("granary: serves version %d, %s", self.tenure.version, self.tenure.record.view)
+        if self.replica.crown(self.clock()):
+            logging.info("store: serves version %d, %s", self.replica.version, self.replica.record.view)
             self._tell()
             self.lending.begin()
 
     # --- beats and news
 
     def _beats(self) -> None:
-        for address in list(self.tenure.peers):
+        for address in list(self.replica.peers):
             if address not in self.beating:
                 self.beating.add(address)
                 self.desk.spawn(self._beat(address))
 
     async def _beat(self, address: Address) -> None:
-        tenure, sent, says = self.tenure, self.clock(), self.lending.says()
-        body = tenure.beat(sent, address) | says
+        replica, sent, says = self.replica, self.clock(), self.lending.says()
+        body = replica.beat(sent, address) | says
         try:
             result = await self.network.call(address, "beat", body, 3 * BEAT)
         finally:
             self.beating.discard(address)
         match result:
             case Result(tag="ok", ok=answer):
-                peer = tenure.on_answer(self.clock(), sent, answer)
+                peer = replica.on_answer(self.clock(), sent, answer)
                 self.lending.heed(answer, sent)
                 if self.lending.outdated(says):
                     self._beats()
                 self._tick(self.clock())  # what is due by this answer needn't wait for the next look
-                view, member = tenure.record.view, Member.read(answer["member"])
-                if view and tenure.owns() and peer.epoch < view.epoch and member.id in view.named():
+                view, member = replica.record.view, Member.read(answer["member"])
+                if view and replica.owns() and peer.epoch < view.epoch and member.id in view.named():
                     await self.desk.install(member, view)
-                if peer.version > (tenure.version if tenure.informed else -1):
+                if peer.version > (replica.version if replica.informed else -1):
                     await self._pull(address)
 
     async def _pull(self, address: Address) -> None:
@@ -178,15 +178,15 @@
             self.pulling = False
 
     def _learn(self, news: Body) -> None:
-        if self.tenure.commit(news["version"], news["data"]):
+        if self.replica.commit(news["version"], news["data"]):
             self._bump()
 
     def _tell(self) -> None:
         """Tells all others at once what is in force."""
         self._bump()
-        now, tenure = self.clock(), self.tenure
-        body = {"version": tenure.version, "data": tenure.data}
-        for address, peer in tenure.peers.items():
+        now, replica = self.clock(), self.replica
+        body = {"version": replica.version, "data": replica.data}
+        for address, peer in replica.peers.items():
             if now - peer.answered < ABSENT:
                 self.desk.spawn(self.network.call(address, "news", body, CALL))
 
@@ -199,7 +199,7 @@
 
     async def _due(self) -> None:
         """Does the one thing that is due; under `busy`."""
-        plan, done = self.tenure.due(self.clock()), False
+        plan, done = self.replica.due(self.clock()), False
         if plan is None:
             return
         try:
@@ -211,50 +211,50 @@
                 done = await self._campaign(plan)
         finally:
             if not done:
-                self.tenure.postpone(self.clock())
+                self.replica.postpone(self.clock())
 
     async def _campaign(self, plan: Plan, release: Release | None = None) -> bool:
         done = await campaign(self.desk, plan, release)
-        if done and self.tenure.writes(self.clock()):  # it reigned before: its new backup has what it holds
+        if done and self.replica.writes(self.clock()):  # it reigned before: its new backup has what it holds
             self._commit()
         self._crown()
         self._bump()
         return done
 
     def _commit(self) -> None:
-        held = self.tenure.record
-        if self.tenure.commit(held.version, held.data):
+        held = self.replica.record
+        if self.replica.commit(held.version, held.data):
             self._tell()
 
     async def _settle(self) -> bool:
         """What the primary holds goes to its backup once more, and is then in force."""
-        tenure, held, view = self.tenure, self.tenure.record, self.tenure.record.view
-        if view is None or not tenure.leads(self.clock()):
+        replica, held, view = self.replica, self.replica.record, self.replica.record.view
+        if view is None or not replica.leads(self.clock()):
             return False
         failed = view.backup and await self.desk.keep(view.backup, view.epoch, held.version, held.data)
         if failed is Verdict.REFUSED:  # it has something later of this epoch, or can't write
             plan = Plan(Step.MOVE, "its backup doesn't follow", view.voters, view.former)
             return await self._campaign(plan)
-        if failed or not tenure.leads(self.clock()) or tenure.record is not held:
+        if failed or not replica.leads(self.clock()) or replica.record is not held:
             return False
-        tenure.settled = view.epoch
-        if tenure.reign:
+        replica.settled = view.epoch
+        if replica.reign:
             self._commit()
         self._crown()
         return True
 
     async def _yield(self) -> bool:
-        tenure, view = self.tenure, self.tenure.record.view
+        replica, view = self.replica, self.replica.record.view
         if view is None or view.backup is None:
             return False
-        backup, epoch = view.backup, tenure.promised + 1
+        backup, epoch = view.backup, replica.promised + 1
         # the promise ends its serving for good, a restart included: so nobody need wait for grants to end
-        tenure.reign = False
-        await self.desk.ink(lambda now: tenure.promise(now, epoch, backup.id, view.epoch))
-        logging.info("granary: hands over to %s", backup.address[0])
+        replica.reign = False
+        await self.desk.ink(lambda now: replica.promise(now, epoch, backup.id, view.epoch))
+        logging.info("store: hands over to %s", backup.address[0])
         # nor need the registry that counts stop: the next primary knows of it
         body = {
-            "by": tenure.me.id,
+            "by": replica.me.id,
             "epoch": epoch,
             "under": view.epoch,
             "duty": self.lending.duty.will(self.clock()),
@@ -263,7 +263,7 @@
 
     async def _lead(self, release: Release, will: list[Any] | None) -> None:
         async with self.busy:
-            base = self.tenure.base()
+            base = self.replica.base()
             if base is not None and base.epoch == release.under and base.primary.id == release.by:
                 if will:
                     self.lending.duty.inherit(self.clock(), will)
@@ -275,20 +275,20 @@
     async def serve(self, op: str, body: Body) -> Body:
         """The answer to a call; Refused if it did nothing.
 
-        Of granaries: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
+        Of stores: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
         {version, data} -> {version: the one in force}; read {} -> {version, data}; status {} and wait
         {have: version, mark: of the last answer, within: seconds} -> {version, mark, epoch, primary: [host,
         port] or None, cores: [[host, port]], ready, duty: [epoch, number, host] or None} and, from wait, data
         if there is a newer version than `have`; duty {host, life} -> {span: seconds from the sending, duty}
         while this one serves and that registry may count, duty {host, life, back: True} -> {}; rescue as
-        `Aid.serve` says, and told {} -> a `Told`.
+        `RescueCalls.serve` says, and told {} -> a `Told`.
         """
-        tenure = self.tenure
+        replica = self.replica
         if "to" in body:
-            tenure.mine(body["to"])
+            replica.mine(body["to"])
         match op:
             case "beat":
-                answer = tenure.on_beat(self.clock(), body)
+                answer = replica.on_beat(self.clock(), body)
                 self.lending.heed(body, self.clock())
                 self._bump()
                 return answer | self.lending.says()
@@ -296,16 +296,16 @@
                 return await self._promise(body)
             case "keep":
                 epoch, asker, version, data = body["epoch"], body["asker"], body["version"], body["data"]
-                await self.desk.ink(lambda now: tenure.keep(epoch, asker, version, data))
+                await self.desk.ink(lambda now: replica.keep(epoch, asker, version, data))
                 return {}
             case "fetch":
-                held = await self.desk.ink(lambda now: tenure.fetch(body["epoch"], body["asker"]))
+                held = await self.desk.ink(lambda now: replica.fetch(body["epoch"], body["asker"]))
                 return {"version": held.version, "data": held.data}
             case "install":
                 view = View.read(body["view"])
                 if view is not None:
-                    await self.desk.ink(lambda now: tenure.install(view))
-                    tenure.renew(self.clock(), view)
+                    await self.desk.ink(lambda now: replica.install(view))
+                    replica.renew(self.clock(), view)
                 return {}
             case "lead":
                 release = Release(body["by"], body["epoch"], body["under"])
@@ -315,9 +315,9 @@
                 self._learn(body)
                 return {}
             case "held":
-                if not tenure.informed:
+                if not replica.informed:
                     raise Refused("nothing known to be in force")
-                return {"version": tenure.version, "data": tenure.data}
+                return {"version": replica.version, "data": replica.data}
             case "put" | "offer":
                 return await self._put(op, body)
             case "told":
@@ -335,28 +335,28 @@
         raise Refused(f"no such call: {op}")
 
     async def _promise(self, body: Body) -> Body:
-        tenure, epoch, asker, released = self.tenure, body["epoch"], body["asker"], body["released"]
+        replica, epoch, asker, released = self.replica, body["epoch"], body["asker"], body["released"]
         if self.lending.bars(released):
             would = False
         elif epoch == 0:  # only whether it would
-            would = tenure.state is not State.SICK
-            would = would and tenure.may_promise(self.clock(), tenure.promised + 1, asker, released)
+            would = replica.state is not State.SICK
+            would = would and replica.may_promise(self.clock(), replica.promised + 1, asker, released)
         else:
             try:
-                await self.desk.ink(lambda now: tenure.promise(now, epoch, asker, released))
+                await self.desk.ink(lambda now: replica.promise(now, epoch, asker, released))
                 would = True
             except Refused:
                 would = False
-        view = tenure.base()
-        return {"ok": would, "promised": tenure.promised, "view": view.body() if view else None}
+        view = replica.base()
+        return {"ok": would, "promised": replica.promised, "view": view.body() if view else None}
 
     async def _put(self, op: str, body: Body) -> Body:
-        tenure, version, data = self.tenure, int(body["version"]), bytes(body["data"])
+        replica, version, data = self.replica, int(body["version"]), bytes(body["data"])
         if op == "offer":
             self.aid.given(version, data)
         try:
             async with asyncio.timeout(ANSWER):
-                if not tenure.leads(self.clock()):
+                if not replica.leads(self.clock()):
                     return await self._hand_on(op, body, ANSWER - 0.05)
                 async with self.busy:
                     return {"version": await self._take(version, data)}
@@ -365,16 +365,16 @@
 
     async def _take(self, version: int, data: bytes) -> int:
         """Puts a version in force, if it's higher; the one in force. As the primary, under `busy`."""
-        tenure = self.tenure
-        if tenure.leads(self.clock()) and (not tenure.reign or tenure.record.version > tenure.version):
+        replica = self.replica
+        if replica.leads(self.clock()) and (not replica.reign or replica.record.version > replica.version):
             await self._settle()
-        if not tenure.writes(self.clock()):
+        if not replica.writes(self.clock()):
             raise Refused("not the primary")
-        if version > tenure.version:
-            view = tenure.record.view
+        if version > replica.version:
+            view = replica.record.view
             assert view is not None
             backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
-            own = self.desk.ink(lambda now: tenure.own(view.epoch, version, data))
+            own = self.desk.ink(lambda now: replica.own(view.epoch, version, data))
             wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
             if isinstance(wrote, BaseException):
                 raise Refused("its disk")
@@ -382,17 +382,17 @@
                 # what it wrote may be in force: another backup may settle it while the asker still waits
                 plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
                 if not await self._campaign(plan):
-                    tenure.postpone(self.clock())
+                    replica.postpone(self.clock())
                     raise Refused("no backup")
-            if not tenure.writes(self.clock()) or tenure.record.version != version:
+            if not replica.writes(self.clock()) or replica.record.version != version:
                 raise Refused("the lease is over")
             self._commit()
-        return tenure.version
+        return replica.version
 
     async def _read(self, body: Body) -> Body:
-        tenure = self.tenure
-        if tenure.lease_left(self.clock()) > 0.0:
-            return {"version": tenure.version, "data": tenure.data}
+        replica = self.replica
+        if replica.lease_left(self.clock()) > 0.0:
+            return {"version": replica.version, "data": replica.data}
         return await self._hand_on("read", body, CALL)
 
     async def _hand_on(self, op: str, body: Body, within: float) -> Body:
@@ -404,46 +404,46 @@
                 return answer
         raise Refused("the primary didn't answer")
 
-    # --- what nurseries ask
+    # --- what registries ask
 
     def _seat(self) -> tuple[int, Address | None]:
         """The newest epoch known, and its primary's address if that is there."""
-        tenure, now = self.tenure, self.clock()
-        view = tenure.base()
+        replica, now = self.replica, self.clock()
+        view = replica.base()
         if view is None:
             return 0, None
-        own = view.primary.id == tenure.me.id
-        there = tenure.lease_left(now) > 0.0 if own else tenure.silence(now, view.primary) < ABSENT
+        own = view.primary.id == replica.me.id
+        there = replica.lease_left(now) > 0.0 if own else replica.silence(now, view.primary) < ABSENT
         return view.epoch, view.primary.address if there else None
 
     def status(self) -> Body:
-        tenure, now = self.tenure, self.clock()
+        replica, now = self.replica, self.clock()
         epoch, primary = self._seat()
         return {
-            "version": tenure.version,
+            "version": replica.version,
             "epoch": epoch,
             "primary": [*primary] if primary else None,
-            "backup": [*seen.backup.address] if (seen := tenure.base()) and seen.backup else None,
-            "cores": [[*a] for a in tenure.cores(now)],
-            "ready": tenure.informed and self.lending.fresh(),
+            "backup": [*seen.backup.address] if (seen := replica.base()) and seen.backup else None,
+            "cores": [[*a] for a in replica.cores(now)],
+            "ready": replica.informed and self.lending.fresh(),
             "duty": self.lending.told(),
             "mark": self.mark,
         }
 
     def _bump(self) -> None:
         """Wakes those who wait, if what they'd be told has changed."""
-        tenure, now = self.tenure, self.clock()
-        serves = tenure.lease_left(now) > 0.0
-        ready = tenure.informed and self.lending.fresh()
-        shown = (tenure.version, ready, serves, self.lending.told(), *self._seat(), tenure.cores(now))
+        replica, now = self.replica, self.clock()
+        serves = replica.lease_left(now) > 0.0
+        ready = replica.informed and self.lending.fresh()
+        shown = (replica.version, ready, serves, self.lending.told(), *self._seat(), replica.cores(now))
         if shown != self.shown:
             self.shown, self.mark = shown, self.mark + 1
             self.changed.set()
             self.changed = asyncio.Event()
 
     async def _wait(self, have: int, within: float, mark: int) -> Body:
-        if self.tenure.version <= have and mark == self.mark:
-            if self.tenure.lease_left(self.clock()) > 0.0:
+        if self.replica.version <= have and mark == self.mark:
+            if self.replica.lease_left(self.clock()) > 0.0:
                 within = min(within, FRESH)
             try:
                 async with asyncio.timeout(within):
@@ -451,6 +451,6 @@
             except TimeoutError:
                 pass
         answer = self.status()
-        if self.tenure.version > have:
-            answer["data"] = self.tenure.data
+        if self.replica.version > have:
+            answer["data"] = self.replica.data
         return answer
--- a/loomstand/granary/waking.py
+++ b/loomstand/store/recovery.py
@@ -7,8 +7,8 @@
 
 from absl import logging
 
-from loomstand.granary.shelf import Disk
-from loomstand.granary.views import Record
+from loomstand.store.disk import Disk
+from loomstand.store.views import Record
 
 Woken = tuple[Record, dict[str, bytes]]
 
@@ -35,7 +35,7 @@
         except OSError as error:
             if str(error) != said:
                 said = str(error)
-                logging.warning("granary: waits for its disk, nothing on it is changed: %s", error)
+                logging.warning("store: waits for its disk, nothing on it is changed: %s", error)
         await asyncio.sleep(pause)
         pause = min(AGAIN[1], 2 * pause)
     return None
--- a/loomstand/granary/tenure.py
+++ b/loomstand/store/replica.py
@@ -19,11 +19,11 @@
 from enum import Enum
 from typing import Any
 
-from loomstand.furrow import Address
-from loomstand.granary.views import Member, Record, View, newest
-from loomstand.orchard.verdict import Refused
+from loomstand.rpc import Address
+from loomstand.shared.verdict import Refused
+from loomstand.store.views import Member, Record, View, newest
 
-BEAT = 0.25  # s between two beats to the same granary: four fit into a lease
+BEAT = 0.25  # s between two beats to the same store: four fit into a lease
 LEASE = 1.2  # s from the sending of a beat for which its grant counts: a takeover ends within 3 s
 HOLD = 1.25  # s from its receipt for which the voter keeps it: longer, so that clocks' rates may differ by 4%
 SILENT = 0.8  # s without an answer after which a backup counts as gone: three beats
@@ -62,7 +62,7 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Another granary, as its beats and answers tell."""
+    """Another store, as its beats and answers tell."""
 
     id: str = ""
     state: State = State.FIT
@@ -76,7 +76,7 @@
 
 
 @dataclass(slots=True)
-class Tenure:
+class Replica:
     me: Member
     seeds: tuple[Address, ...]
     record: Record
--- a/loomstand/granary/desk.py
+++ b/loomstand/store/replica_io.py
@@ -1,4 +1,4 @@
-"""Where a tenure meets its disk and its peers: changes are on disk before anybody hears of them."""
+"""Where a replica meets its disk and its peers: changes are on disk before anybody hears of them."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 from absl import logging
 from expression import Result
 
-from loomstand.furrow import Network
-from loomstand.granary.shelf import Disk
-from loomstand.granary.tenure import State, Tenure
-from loomstand.granary.views import Member, Record, View
-from loomstand.orchard.verdict import Refused, Verdict
+from loomstand.rpc import Network
+from loomstand.shared.verdict import Refused, Verdict
+from loomstand.store.disk import Disk
+from loomstand.store.replica import Replica, State
+from loomstand.store.views import Member, Record, View
 
-CALL = 0.5  # s for a call between granaries: a round trip between regions and a slow write
+CALL = 0.5  # s for a call between stores: a round trip between regions and a slow write
 KEEP = 0.4  # s for the backup's write of a change, so that another may still be found in time
 HANG = 0.4  # s after which a write that hasn't come back marks the disk as sick: a hundred usual ones
 FAILED = 2.0  # s for which a disk that refused a write counts as sick
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Desk:
-    tenure: Tenure
+    replica: Replica
     network: Network
     disk: Disk
     clock: Callable[[], float]
@@ -44,7 +44,7 @@
     def _done(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) and not isinstance(error, Refused):
-            logging.error("granary: %r", error)
+            logging.error("store: %r", error)
 
     async def ink(self, change: Callable[[float], Record]) -> Record:
         """Makes a change of the record and has it on disk. Refused: it may be there all the same."""
@@ -53,9 +53,9 @@
     async def _ink(self, change: Callable[[float], Record]) -> Record:
         async with self.pen:
             record = change(self.clock())
-            if pages := record.pages(self.tenure.record):
+            if pages := record.pages(self.replica.record):
                 await self._save(pages)
-            self.tenure.wrote(self.clock(), record)
+            self.replica.wrote(self.clock(), record)
             return record
 
     async def note(self, pages: dict[str, bytes]) -> None:
@@ -78,12 +78,12 @@
 
     def examine(self, now: float) -> None:
         """Marks the member as sick while its disk hangs or has just refused."""
-        if self.tenure.state is not State.LEAVING:
+        if self.replica.state is not State.LEAVING:
             hangs = self.writing is not None and now - self.writing > HANG
             state = State.SICK if hangs or now - self.failed < FAILED else State.FIT
-            if state is not self.tenure.state:
-                logging.info("granary: its disk is %s", "in trouble" if state is State.SICK else "well again")
-                self.tenure.state = state
+            if state is not self.replica.state:
+                logging.info("store: its disk is %s", "in trouble" if state is State.SICK else "well again")
+                self.replica.state = state
 
     # --- calls to other members, each meant for one disk
 
@@ -96,19 +96,19 @@
 
     async def keep(self, member: Member, epoch: int, version: int, data: bytes) -> Verdict | None:
         """Has `member` write the configuration; None once it has. One that doesn't answer is doubted."""
-        body = {"epoch": epoch, "asker": self.tenure.me.id, "version": version, "data": data}
+        body = {"epoch": epoch, "asker": self.replica.me.id, "version": version, "data": data}
         answer = await self.ask(member, "keep", body, KEEP)
         if not isinstance(answer, Verdict):
             return None
         if answer is not Verdict.REFUSED:
-            self.tenure.doubt(self.clock(), member)
+            self.replica.doubt(self.clock(), member)
         return answer
 
     async def install(self, member: Member, view: View) -> None:
         """Has `member` write the view, which is its grant as well."""
         sent = self.clock()
         if not isinstance(await self.ask(member, "install", {"view": view.body()}), Verdict):
-            self.tenure.on_grant(member.id, view.epoch, sent)
+            self.replica.on_grant(member.id, view.epoch, sent)
 
     async def until(self, work: Iterable[Coroutine[Any, Any, Any]], enough: Callable[[], bool]) -> None:
         """Runs all of `work`, and waits until it's enough or done; the rest goes on by itself."""
@@ -123,10 +123,10 @@
         answers: dict[str, Body] = {}
 
         async def one(member: Member) -> None:
-            answer = await self.ask(member, "promise", body | {"asker": self.tenure.me.id})
+            answer = await self.ask(member, "promise", body | {"asker": self.replica.me.id})
             if not isinstance(answer, Verdict):
                 answers[member.id] = answer
-                self.tenure.notice(View.read(answer["view"]))
+                self.replica.notice(View.read(answer["view"]))
 
-        await self.until((one(m) for m in members if m.id != self.tenure.me.id), lambda: enough(answers))
+        await self.until((one(m) for m in members if m.id != self.replica.me.id), lambda: enough(answers))
         return dict(answers)
--- a/loomstand/granary/rescue.py
+++ b/loomstand/store/rescue.py
@@ -11,10 +11,10 @@
 from random import Random
 from typing import Any
 
-from loomstand.furrow import Address
-from loomstand.granary.bid import Bid, Held
-from loomstand.granary.tenure import VOTERS, Plan, State, Step, Tenure
-from loomstand.granary.views import MARGIN, Member, View, newest
+from loomstand.rpc import Address
+from loomstand.store.ballot import Ballot, Held
+from loomstand.store.replica import VOTERS, Plan, Replica, State, Step
+from loomstand.store.views import MARGIN, Member, View, newest
 
 # Where in its million a rescue's epoch falls is drawn, so that two rescues on both sides of a cut, which
 # operators shouldn't make, don't have one epoch: the higher view prevails once they meet.
@@ -58,21 +58,22 @@
         )  # fmt: skip
 
 
-def told(tenure: Tenure, now: float, offered: Held) -> Told:
+def told(replica: Replica, now: float, offered: Held) -> Told:
     """What this member says."""
-    view, record = tenure.base(), tenure.record
-    known = max(tenure.top, tenure.promised, *(p.promised for p in tenure.peers.values()), 0)
+    view, record = replica.base(), replica.record
+    known = max(replica.top, replica.promised, *(p.promised for p in replica.peers.values()), 0)
     known = max(known, view.epoch if view else 0)
     return Told(
-        tenure.me, tenure.state, record.founder, now - tenure.started, tenure.lease_left(now), known, view,
-        tenure.version, offered[0], record.version,
+        replica.me, replica.state, record.founder, now - replica.started, replica.lease_left(now), known,
+        view,
+        replica.version, offered[0], record.version,
     )  # fmt: skip
 
 
-def best(tenure: Tenure, offered: Held) -> Held:
+def best(replica: Replica, offered: Held) -> Held:
     """The newest that a member holds; of one version what was in force goes before what is on disk only."""
-    record = tenure.record
-    held = [(tenure.version, tenure.data), offered, (record.version, record.data)]
+    record = replica.record
+    held = [(replica.version, replica.data), offered, (record.version, record.data)]
     return max(held, key=lambda h: h[0])
 
 
@@ -204,7 +205,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rescue(Bid):
+class Rescue(Ballot):
     """A campaign for which all in reach must promise, in the place of electors that are no more.
 
     That all of them do bars two rescues from one reach: where two overlap, one doesn't get a promise, or its
@@ -218,23 +219,23 @@
     def epoch(self, known: int) -> int:
         return (max(known, self.case.floor()) // MARGIN + 1) * MARGIN + self.drawn
 
-    def electors(self, tenure: Tenure) -> list[Member]:
+    def electors(self, replica: Replica) -> list[Member]:
         return [t.member for t in self.case.reach()]
 
-    def agreed(self, tenure: Tenure, ids: Collection[str]) -> bool:
-        return all(m.id in ids for m in self.electors(tenure))
+    def agreed(self, replica: Replica, ids: Collection[str]) -> bool:
+        return all(m.id in ids for m in self.electors(replica))
 
-    def own(self, tenure: Tenure) -> Held | None:
+    def own(self, replica: Replica) -> Held | None:
         return self.held
 
     def takes(self, backup: Member, promised: Collection[str]) -> bool:
         """An old disk that comes back in this moment may still grant a lease of its old view."""
         return backup.id in promised
 
-    def view(self, tenure: Tenure, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
-        me = tenure.me
+    def view(self, replica: Replica, epoch: int, backup: Member | None, promised: Collection[str]) -> View:
+        me = replica.me
         first = [me, *([backup] if backup else [])]
-        rest = [m for m in self.electors(tenure) if m not in first]
+        rest = [m for m in self.electors(replica) if m not in first]
         return View(epoch, me, backup, tuple([*first, *rest][:VOTERS]), (), epoch)
 
 
@@ -244,7 +245,7 @@
     return Case(each, newest(*(t.view for t in each)), frozenset(gone), len(seeds) == 1)
 
 
-def bid(found: Case, held: Held, rng: Random) -> Rescue:
+def ballot(found: Case, held: Held, rng: Random) -> Rescue:
     lost = " ".join(m.address[0] for m in found.lost()) or "nobody known"
     plan = Plan(Step.RESCUE, f"operators gave up {lost}")
     return Rescue(plan, found.view, found, held, rng.randrange(DRAWN))
--- a/loomstand/granary/aid.py
+++ b/loomstand/store/rescue_calls.py
@@ -8,21 +8,21 @@
 
 from expression import Result
 
-from loomstand.furrow import Address
-from loomstand.granary import rescue
-from loomstand.granary.bid import Held
-from loomstand.granary.campaign import Campaign
-from loomstand.granary.desk import CALL, Body, Desk
-from loomstand.granary.rescue import Case, Told
-from loomstand.granary.tenure import Tenure
-from loomstand.orchard.verdict import Refused
+from loomstand.rpc import Address
+from loomstand.shared.verdict import Refused
+from loomstand.store import rescue
+from loomstand.store.ballot import Held
+from loomstand.store.election import Election
+from loomstand.store.replica import Replica
+from loomstand.store.replica_io import CALL, Body, Desk
+from loomstand.store.rescue import Case, Told
 
 # s for a whole rescue at the member chosen: two looks, promises, a backup's write or two, and the view's
 WITHIN = 4.0
 
 
-class Aid:
-    """Of one granary. `busy` is held by whatever a primary or candidate does; `crown` lets one begin."""
+class RescueCalls:
+    """Of one store. `busy` is held by whatever a primary or candidate does; `crown` lets one begin."""
 
     def __init__(
         self, desk: Callable[[], Desk], busy: asyncio.Lock, rng: Random, crown: Callable[[], None]
@@ -31,30 +31,30 @@
         self.offered: Held = (0, b"")  # the highest that was given back and isn't known to be in force
 
     @property
-    def tenure(self) -> Tenure:
-        return self.desk().tenure
+    def replica(self) -> Replica:
+        return self.desk().replica
 
     def given(self, version: int, data: bytes) -> None:
         """A registry or limiter holds this. Without a primary it's kept: a rescue may need it."""
-        if version > max(self.offered[0], self.tenure.version):
+        if version > max(self.offered[0], self.replica.version):
             self.offered = (version, data)
 
     def told(self) -> Told:
-        if self.offered[0] <= self.tenure.version:
+        if self.offered[0] <= self.replica.version:
             self.offered = (0, b"")
-        return rescue.told(self.tenure, self.desk().clock(), self.offered)
+        return rescue.told(self.replica, self.desk().clock(), self.offered)
 
     async def look(self, gone: list[str]) -> Case:
         """Asks all members that it knows of, and those that the views found name besides."""
-        told, asked = [self.told()], {self.tenure.me.address}
+        told, asked = [self.told()], {self.replica.me.address}
         while new := self._others(told) - asked:
             asked |= new
             told += [t for t in await asyncio.gather(*(self._ask(a) for a in sorted(new))) if t]
-        return rescue.case(told, gone, self.tenure.seeds)
+        return rescue.case(told, gone, self.replica.seeds)
 
     def _others(self, told: list[Told]) -> set[Address]:
         named = {m.address for t in told if t.view for m in t.view.named().values()}
-        return named | {*self.tenure.peers}
+        return named | {*self.replica.peers}
 
     async def _ask(self, address: Address) -> Told | None:
         match await self.desk().network.call(address, "told", {}, CALL):
@@ -72,7 +72,7 @@
             return {"no": no}
         chosen = found.chosen()
         assert chosen is not None  # else it waits for two
-        if chosen.member == self.tenure.me:
+        if chosen.member == self.replica.me:
             async with self.busy:
                 return await self._found(gone, token)
         if body.get("handed"):
@@ -86,20 +86,20 @@
         }
 
     async def _found(self, gone: list[str], token: str) -> Body:
-        desk, tenure = self.desk(), self.tenure
+        desk, replica = self.desk(), self.replica
         found = await self.look(gone)  # another rescue may have ended while this one waited
         if no := _refused(found, token):
             return {"no": no}
         try:
-            stands = await Campaign(
-                desk, rescue.bid(found, rescue.best(tenure, self.offered), self.rng), None
+            stands = await Election(
+                desk, rescue.ballot(found, rescue.best(replica, self.offered), self.rng), None
             ).run()
         except Refused as why:
             return {"no": [f"nothing is founded: {why}"]}
-        view = tenure.record.view
+        view = replica.record.view
         self.crown()
-        if not stands or view is None or tenure.lease_left(desk.clock()) <= 0.0:
-            tenure.postpone(desk.clock())
+        if not stands or view is None or replica.lease_left(desk.clock()) <= 0.0:
+            replica.postpone(desk.clock())
             return {
                 "no": [
                     "nothing is founded: some member in reach didn't promise, or wrote nothing; look again"
@@ -107,7 +107,7 @@
             }
         hosts = [m.address[0] for m in view.voters]
         backup = view.backup.address[0] if view.backup else None
-        primary, version = view.primary.address[0], f"r{tenure.version}"
+        primary, version = view.primary.address[0], f"r{replica.version}"
         done = {
             "epoch": view.epoch,
             "version": version,
--- a/loomstand/granary/views.py
+++ b/loomstand/store/views.py
@@ -8,17 +8,17 @@
 
 import cbor2
 
-from loomstand.furrow import Address
+from loomstand.rpc import Address
 
 # A rescue's epoch is in the next million above all that is known in reach, and views go on within their
-# million only (Bid.epoch): so members that were given up, wherever they are, never get above it. An epoch's
+# million only (Ballot.epoch): so members that were given up, wherever they are, never get above it. Its
 # millions count the rescues. Without faults views don't change; at two changes a second it lasts six days.
 MARGIN = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A disk: the id drawn when its folder was empty, and the address at which its granary listens."""
+    """A disk: the id drawn when its folder was empty, and the address at which its store listens."""
 
     id: str
     address: Address
--- a/tests/test_almanac.py
+++ b/tests/test_almanac.py
@@ -20,7 +20,7 @@
 from loomstand.almanac.draw import SEVERITY, SIZE, Wish, draw, mixes
 from loomstand.almanac.site import SiteError
 from loomstand.almanac.write import day_text, index, toml
-from loomstand.foreman.commands import main
+from loomstand.ctl.commands import main
 
 SITE = """
 name = "mill"
@@ -207,7 +207,7 @@
     mill = put(tmp_path / "mill.toml")
     words = ["days", "draw", mill, "--days", "3", "--seed", "7", "--out"]
     for salt in ("1", "2"):  # the order of sets differs between them
-        command = [sys.executable, "-m", "loomstand.foreman", *words, str(tmp_path / salt)]
+        command = [sys.executable, "-m", "loomstand.ctl", *words, str(tmp_path / salt)]
         subprocess.run(command, env=os.environ | {"PYTHONHASHSEED": salt}, check=True, capture_output=True)
     one, two = ({f.name: f.read_bytes() for f in (tmp_path / salt).iterdir()} for salt in ("1", "2"))
     assert one == two and sorted(one) == ["index.json", *(f"mill-usual-7-0{n}.toml" for n in (1, 2, 3))]
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from loomstand.nursery import hands, tally
-from loomstand.stile.told import Told as Added
-from loomstand.weather import hunt
-from loomstand.weather.day import Day, Setup
-from loomstand.weather.gauges import CORE, Change, Drain, Figure, History, Ran, Span, Told, judge
-from loomstand.weather.town import Town
-
-BOUNDS = Town(1, 1, 1, 1).settings("10.1.0.1").bounds
+from loomstand.proxy.recount import Told as Added
+from loomstand.registry import counters, limiters
+from loomstand.simulation import hunt
+from loomstand.simulation.bounds import CORE, Change, Drain, Figure, History, Ran, Span, Told, judge
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.scenario import Day, Setup
+
+BOUNDS = Cluster(1, 1, 1, 1).settings("10.1.0.1").bounds
 ANN = {"ann": (10.0, 20.0)}  # of which 50 + 20 are the quota of a window, and 97 are allowed
 FIRST = Change(1, 0.0, 0.1, ANN)
 Q, SMALL = "quota: share of the leeway used", "quota, small: share of the leeway used"
@@ -179,7 +179,7 @@
 @pytest.mark.parametrize("held", [True, False])
 def test_a_place_that_is_not_held_for_a_silent_limiter_shows_in_the_gauges(held, monkeypatch):
     if not held:
-        monkeypatch.setattr(hands, "HELD", hands.STANDS)
+        monkeypatch.setattr(limiters, "HELD", limiters.STANDS)
     history, bounds = Parted(5, Setup(limiters=8, length=11.0, servers=3)).play()
     quota = {figure.name: figure for figure in judge(history, bounds)}[Q]
     assert bool(quota.broken) is not held, quota
@@ -211,7 +211,7 @@
     """A drawn day in which the duty to count moves while a tenant is hot."""
     if not known:
         monkeypatch.setattr(Added, "added", lambda *_: 0.0)
-        monkeypatch.setattr(tally, "YOUNG", 0.0)
+        monkeypatch.setattr(counters, "YOUNG", 0.0)
     history, bounds = Day(1072, Setup(length=6.0)).play()
     quota = {figure.name: figure for figure in judge(history, bounds)}[Q]
     assert bool(quota.broken) is not known, quota
--- a/tests/test_foreman.py
+++ b/tests/test_ctl.py
@@ -9,14 +9,14 @@
 
 import pytest
 from standin import StandIn
-from test_orchard import CONFIG, FILE
+from test_shared import CONFIG, FILE
 
-from loomstand.foreman import calls, status
-from loomstand.foreman.commands import main
-from loomstand.granary.rescue import Told, case
-from loomstand.granary.tenure import State
-from loomstand.granary.views import Member, View
-from loomstand.weather.town import Town
+from loomstand.ctl import calls, status
+from loomstand.ctl.commands import main
+from loomstand.simulation.cluster import Cluster
+from loomstand.store.replica import State
+from loomstand.store.rescue import Told, case
+from loomstand.store.views import Member, View
 
 KEY = "ctnfzs989anu6wsjnban"
 
@@ -68,7 +68,7 @@
     assert json.loads(capsys.readouterr().out)["bounds"]["budget_slack"] == 62
     path = put("bad", FILE.replace("7340,7355", "7340").encode())
     assert main(["settings", "check", path]) == 2
-    assert capsys.readouterr().err.startswith(f"loomstand.foreman: {path}: network.internal_ports: ")
+    assert capsys.readouterr().err.startswith(f"loomstand.ctl: {path}: network.internal_ports: ")
     for bad in (["settings", "check", "/nowhere"], ["config", "push", path, "--at", "x"], ["config"]):
         assert main(bad) == 2
         assert capsys.readouterr().err.count("\n") == 1
@@ -160,7 +160,7 @@
 
 
 def test_status_of_a_whole_town_is_shown_and_disagreement_is_told(stand, capsys):
-    town = Town(proxies=2)
+    town = Cluster(proxies=2)
     town.do(town.begin())
     town.wait(2.0)
     asked = (b"POST", b"/api/rpc?call=system.status", b"")
@@ -232,10 +232,10 @@
 
 def test_no_daemon_imports_it_and_a_command_only_what_it_needs():
     text = (  # in another process: this one has imported it all
-        "import sys, loomstand.stile.program, loomstand.nursery.whole, loomstand.granary.program\n"
-        "assert not {m for m in sys.modules if m.startswith(('cappa', 'rich', 'loomstand.foreman'))}\n"
-        "from loomstand.foreman.commands import main\n"
-        "assert not {'loomstand.foreman.calls', 'loomstand.foreman.files'} & sys.modules.keys()\n"
+        "import sys, loomstand.proxy.program, loomstand.registry.service, loomstand.store.program\n"
+        "assert not {m for m in sys.modules if m.startswith(('cappa', 'rich', 'loomstand.ctl'))}\n"
+        "from loomstand.ctl.commands import main\n"
+        "assert not {'loomstand.ctl.calls', 'loomstand.ctl.files'} & sys.modules.keys()\n"
         "main(['status', '--help'])"
     )
     done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True)
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -1,4 +1,4 @@
-"""The duty to count, in simulated weather: one registry has it at a time, whatever befalls the core."""
+"""The duty to count, in simulated simulation: one registry has it at a time, whatever befalls the core."""
 
 from __future__ import annotations
 
@@ -7,20 +7,20 @@
 
 import pytest
 
-from loomstand.granary.duty import Duty
-from loomstand.granary.tenure import LEASE
 from loomstand.interface import Count, Outcome
-from loomstand.weather.streams import Host
-from loomstand.weather.town import Town
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.streams import Host
+from loomstand.store.duty import Duty
+from loomstand.store.replica import LEASE
 
 
-class Core(Town):
-    """Core machines alone, whose clocks run at rates that differ by 4 %, in weather of all kinds."""
+class Core(Cluster):
+    """Core machines alone, whose clocks run at rates that differ by 4 %, in simulation of all kinds."""
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed, proxies=0, servers=0)
         self.moves, self.before = 0, ""
-        for host in (*self.nurseries.values(), *self.stores.values()):
+        for host in (*self.registries.values(), *self.stores.values()):
             host.rate = self.rng.choice((1.0, 1.02, 1.04))
 
     async def watch(self) -> None:
@@ -31,14 +31,14 @@
                 self.moves, self.before = self.moves + 1, counting[0]
             await asyncio.sleep(0.004)
 
-    async def weather(self, steps: int) -> None:
+    async def simulation(self, steps: int) -> None:
         rng = Random(self.rng.getrandbits(64))
-        for host in (*self.stores.values(), *self.nurseries.values()):
+        for host in (*self.stores.values(), *self.registries.values()):
             host.start()
         await asyncio.sleep(2.5)
         for _ in range(steps):
-            which = rng.choice((self.stores, self.stores, self.nurseries))
-            likely = [ip for ip in self.core_ips if which is self.nurseries and ip in self.counters()]
+            which = rng.choice((self.stores, self.stores, self.registries))
+            likely = [ip for ip in self.core_ips if which is self.registries and ip in self.counters()]
             ip = rng.choice(likely or [ip for ip, s in self.stores.items() if serves(s)] or self.core_ips)
             if rng.random() < 0.3:
                 ip = rng.choice(self.core_ips)
@@ -56,7 +56,7 @@
             elif host.up:
                 (host.freeze if what == "freeze" else host.kill)()
             await asyncio.sleep(rng.choice((0.02, 0.3, 0.9, 1.5, 2.5)))
-            for machine in (*self.stores.values(), *self.nurseries.values()):
+            for machine in (*self.stores.values(), *self.registries.values()):
                 (machine.thaw if machine.up else machine.start)()
             self.sky.mend()
             if rng.random() < 0.5:
@@ -68,12 +68,12 @@
     core = Core(seed)
     watch = core.behind(core.watch())
     try:
-        core.do(asyncio.wait([core.behind(core.weather(steps)), watch], return_when="FIRST_COMPLETED"))
+        core.do(asyncio.wait([core.behind(core.simulation(steps)), watch], return_when="FIRST_COMPLETED"))
         if watch.done():
             watch.result()
         core.sky.slow.clear()
         core.wait(4.0)
-        assert core.counters(), "nobody counts in calm weather"
+        assert core.counters(), "nobody counts in calm simulation"
     finally:
         core.close()
     return core
@@ -103,14 +103,14 @@
 
 def test_the_span_counts_from_the_sending():
     core = Core(1)
-    core.do(core.weather(0))
+    core.do(core.simulation(0))
     (ip,) = core.counters()
     registry, store = core.registry(ip), next(s for s in core.stores.values() if serves(s))
     core.sky.slow[ip] = 0.09
 
     async def ask() -> None:
         sent, registry.holding.until = registry.clock(), 0.0
-        assert await registry.claim((store.host, registry.settings.granary(ip)[1]))
+        assert await registry.claim((store.host, registry.settings.store(ip)[1]))
         assert registry.clock() > sent + 0.3 and sent < registry.holding.until <= sent + LEASE
 
     core.do(ask())
@@ -120,19 +120,19 @@
 def test_one_that_handed_its_reign_on_promises_nothing_to_who_does_not_know_to_whom_it_let_the_duty():
     core = Core(1)
     core.behind(core.watch())
-    core.do(core.weather(0))
+    core.do(core.simulation(0))
     a = next(ip for ip, s in core.stores.items() if serves(s))
-    store, view = core.stores[a].programs[0], core.stores[a].programs[0].tenure.record.view
+    store, view = core.stores[a].programs[0], core.stores[a].programs[0].replica.record.view
     core.sky.cut(a, next(m.address[0] for m in view.voters if not view.holds(m.id)))
     core.wait(3.0)  # the lease stands by the backup alone; the third one's grant is long over
 
     async def part() -> None:
         leaving = asyncio.ensure_future(store.stop())
-        while store.tenure.promised == view.epoch:
+        while store.replica.promised == view.epoch:
             await asyncio.sleep(0.001)
         core.stores[view.backup.address[0]].kill()
         ask = {"epoch": 0, "asker": "the third one", "released": 0}
-        assert core.counters() == [a] and store.tenure.may_promise(store.clock(), 9, "the third one", 0)
+        assert core.counters() == [a] and store.replica.may_promise(store.clock(), 9, "the third one", 0)
         assert not (await store.serve("promise", ask))["ok"]
         assert (await store.serve("promise", ask | {"released": view.epoch}))["ok"]
         await leaving
@@ -144,7 +144,7 @@
 # --- the duty and the store come apart
 
 
-async def kept(town: Town, step: float = 0.0) -> float:
+async def kept(town: Cluster, step: float = 0.0) -> float:
     """Adds to a sum at the registry that counts; the total."""
     said = await town.registry(town.counting()).count({"name": 7, "step": step, "keep": 60.0})
     return said["total"]
@@ -152,7 +152,7 @@
 
 @pytest.mark.parametrize(("down", "takes"), [(0.2, 1.0), (6.0, 3.0)], ids=["restart", "takeover"])
 def test_counts_outlive_the_primary_store(down, takes):
-    town = Town(3, proxies=1)
+    town = Cluster(3, proxies=1)
     town.do(town.begin())
     counting, store = town.counting(), next(s for s in town.stores.values() if serves(s))
     assert town.do(kept(town, 5.0)) == 5.0
@@ -178,34 +178,34 @@
 
 def serves(store: Host) -> bool:
     programs = store.programs if store.runs else []
-    return any(g._desk is not None and g.tenure.lease_left(g.clock()) > 0.0 for g in programs)
+    return any(g._desk is not None and g.replica.lease_left(g.clock()) > 0.0 for g in programs)
 
 
 def test_a_registry_that_leaves_gives_the_duty_back_at_once_and_limiters_hear_it():
-    town = Town(4, proxies=2)
+    town = Cluster(4, proxies=2)
     town.do(town.begin())
     counting = town.counting()
 
     async def leaves() -> float:
-        town.behind(town.nurseries[counting].leave())
+        town.behind(town.registries[counting].leave())
         return await town.until(lambda: town.counters() not in ([], [counting]), 0.2)
 
     town.do(leaves())
     town.wait(0.1)
-    said = [max(s.sessions.stand(s.sessions.counters))[1][0] for s in town.all_stiles()]
+    said = [max(s.sessions.stand(s.sessions.counters))[1][0] for s in town.all_proxies()]
     assert said == [town.counting()] * 2
     town.close()
 
 
 def test_all_that_start_anew_count_as_soon_as_one_serves():
-    town = Town(5, proxies=1)
+    town = Cluster(5, proxies=1)
     town.do(town.begin())
 
     async def day() -> float:
-        for host in (*town.stores.values(), *town.nurseries.values()):
+        for host in (*town.stores.values(), *town.registries.values()):
             host.kill()
         await asyncio.sleep(1.0)
-        for host in (*town.stores.values(), *town.nurseries.values()):
+        for host in (*town.stores.values(), *town.registries.values()):
             host.start()
         await town.until(lambda: any(map(serves, town.stores.values())), 3.0)
         return await town.until(lambda: bool(town.counters()), 0.2)
@@ -218,11 +218,11 @@
 
 
 def test_one_that_is_cut_off_is_sure_for_a_lease_and_nobody_waits_for_a_takeover():
-    town = Town(6, cores=5, proxies=1)
+    town = Cluster(6, cores=5, proxies=1)
     town.do(town.begin())
     town.wait(3.0)
     (first,) = [ip for ip, s in town.stores.items() if serves(s)]
-    votes = [m.address[0] for m in town.stores[first].programs[0].tenure.record.view.voters]
+    votes = [m.address[0] for m in town.stores[first].programs[0].replica.record.view.voters]
     few = [first, next(ip for ip in town.core_ips if ip not in votes)]  # which go on hearing each other
     rest = [ip for ip in town.core_ips if ip not in few]
     town.sky.apart(few, rest)
@@ -243,25 +243,25 @@
 
 
 def test_limiters_tell_one_that_comes_to_count_what_they_added_and_hear_no_total_before():
-    town = Town(8, proxies=2)
+    town = Cluster(8, proxies=2)
     town.do(town.begin())
     town.wait(3.0)  # nobody has just started
     heard: list[tuple[Outcome, float]] = []
-    for stile in town.all_stiles():
-        stile.counted = lambda name, outcome, total, took: heard.append((outcome, total))
+    for proxy in town.all_proxies():
+        proxy.counted = lambda name, outcome, total, took: heard.append((outcome, total))
 
     async def add(*steps: float) -> None:
-        for stile, step in zip(town.all_stiles(), steps, strict=False):
-            await stile.counting(Count(7 << 15, step, 600_000))
+        for proxy, step in zip(town.all_proxies(), steps, strict=False):
+            await proxy.counting(Count(7 << 15, step, 600_000))
 
     async def day() -> None:
-        town.nurseries[town.counting()].kill()
+        town.registries[town.counting()].kill()
         await town.until(lambda: bool(town.counters()), 2.0)
         await asyncio.sleep(3.0)
         await add(1.0, 1.0)
         await asyncio.sleep(1.0)
         await add(0.0)
-        town.nurseries[town.counting()].freeze()
+        town.registries[town.counting()].freeze()
         await add(5.0)  # no answer: it may have come, or not
         await asyncio.sleep(2.0)
         await add(0.0, 1.0)
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from loomstand.weather.book import Reply
-from loomstand.weather.people import Server
-from loomstand.weather.town import Town
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.http_log import Reply
+from loomstand.simulation.workload import Server
 
 GET = ("GET", "town.example", "/a/x", "key-of-ann")
 POST = ("POST", "town.example", "/once/x", "key-of-ann", b"body")
@@ -19,14 +19,14 @@
 
 
 @pytest.fixture
-def town(request: pytest.FixtureRequest) -> Iterator[Town]:
-    made = Town(request.param, proxies=2, servers=4)
+def town(request: pytest.FixtureRequest) -> Iterator[Cluster]:
+    made = Cluster(request.param, proxies=2, servers=4)
     made.do(made.begin())
     yield made
     made.close()  # checks among all else that nothing ran twice that must not
 
 
-def flows(town: Town, rate: float, seconds: float) -> list[asyncio.Task[list[Reply]]]:
+def flows(town: Cluster, rate: float, seconds: float) -> list[asyncio.Task[list[Reply]]]:
     """Of requests that may be repeated and of others, of which no client makes a further try."""
     return [
         town.behind(town.flow(town.someone(), rate / 2, seconds, *what, idempotent=again, tries=1))
@@ -38,14 +38,14 @@
     return sum(reply.status == 200 for reply in replies) / len(replies)
 
 
-def share(town: Town, server: Server, since: float, method: str) -> float:
+def share(town: Cluster, server: Server, since: float, method: str) -> float:
     """The part of a service's requests that a server has had."""
     at = [r for r in town.book.arrivals if r.at >= since and r.service == server.service]
     at = [r for r in at if town.book.asks[r.id].method == method]
     return sum(r.server == server.id for r in at) / len(at)
 
 
-def forget(town: Town, servers: list[Server]) -> int:
+def forget(town: Cluster, servers: list[Server]) -> int:
     """Their ends of all connections are gone without a word; how many that were."""
     lives = {server.life for server in servers}
     ends = [end for end in town.cables.ends if end.life in lives and not end.gone]
@@ -101,7 +101,7 @@
 # --- connections that their servers forgot
 
 
-def warm(town: Town) -> None:
+def warm(town: Cluster) -> None:
     """Connections at work, and then idle."""
     for flow in flows(town, 150, 2.0):
         town.do(flow)
@@ -149,7 +149,7 @@
 
     async def look() -> None:
         while True:
-            seen.extend((stile.able, stile.fleet.all, stile.fleet.silent) for stile in town.all_stiles())
+            seen.extend((proxy.able, proxy.fleet.all, proxy.fleet.silent) for proxy in town.all_proxies())
             await asyncio.sleep(0.05)
 
     town.behind(look())
@@ -157,7 +157,7 @@
         town.wait(2.0)
         town.route(f"new{n}", "beta")
         assert town.do(town.replace(3.0))
-        there = lambda: all(stile.table.version == town.version for stile in town.all_stiles())  # noqa: E731
+        there = lambda: all(proxy.table.version == town.version for proxy in town.all_proxies())  # noqa: E731
         assert town.do(town.until(there, 2.5)) < 1.0
     for flow in both:
         assert good(town.do(flow)) >= 0.99
--- a/tests/test_surveyor.py
+++ b/tests/test_model_checker.py
@@ -9,21 +9,21 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
-from loomstand.surveyor.__main__ import main
-from loomstand.surveyor.land import Bounds, Broken, Land
-from loomstand.surveyor.mutants import MUTANTS, RESCUE, brief
-from loomstand.surveyor.plot import Rules
-from loomstand.surveyor.walk import survey
+from loomstand.model_checker.__main__ import main
+from loomstand.model_checker.member import Rules
+from loomstand.model_checker.mutants import MUTANTS, RESCUE, brief
+from loomstand.model_checker.search import survey
+from loomstand.model_checker.state_space import Bounds, Broken, StateSpace
 
 
 def test_all_runs_within_small_bounds_hold():
-    found = survey(Land(Rules(), brief("restart", takers="c", wipes=1)), seconds=60.0)
+    found = survey(StateSpace(Rules(), brief("restart", takers="c", wipes=1)), seconds=60.0)
     assert found.whole and not found.broken
     assert found.states > 3000 and found.depth > 25
 
 
 def test_all_runs_with_a_rescue_and_the_return_of_the_lost_disks_hold():
-    found = survey(Land(Rules(), replace(RESCUE, versions=0)), seconds=60.0)
+    found = survey(StateSpace(Rules(), replace(RESCUE, versions=0)), seconds=60.0)
     assert found.whole and not found.broken
     assert found.states > 10_000 and found.depth > 30
 
@@ -31,7 +31,7 @@
 @pytest.mark.parametrize("name", [n for n, m in MUTANTS.items() if m.brief])
 def test_a_step_left_out_is_found(name):
     mutant = MUTANTS[name]
-    found = survey(Land(mutant.rules, mutant.bounds), states=100_000, seconds=60.0)
+    found = survey(StateSpace(mutant.rules, mutant.bounds), states=100_000, seconds=60.0)
     assert found.broken[1:2] in [*mutant.breaks], found
     assert found.trace[-1].endswith(found.broken)
 
@@ -47,7 +47,7 @@
 class Ramble(RuleBasedStateMachine):
     """One long run: far deeper, and with more faults, than all runs can be walked."""
 
-    land = Land(Rules(), Bounds(members=4, epochs=8, faults=12, changes=2, yields=2))
+    land = StateSpace(Rules(), Bounds(members=4, epochs=8, faults=12, changes=2, yields=2))
 
     def __init__(self) -> None:
         super().__init__()
@@ -64,7 +64,7 @@
                 self.land.check(self.state)
 
 
-# no shrinking: the surveyor finds the shortest trace, this one only asks whether there is one
+# no shrinking: the model_checker finds the shortest trace, this one only asks whether there is one
 RAMBLES = settings(
     max_examples=25,
     stateful_step_count=30,
@@ -82,7 +82,7 @@
 
 def test_long_runs_at_random_find_a_mutant():
     class Mutated(Ramble):
-        land = Land(MUTANTS["alone"].rules, Ramble.land.bounds)
+        land = StateSpace(MUTANTS["alone"].rules, Ramble.land.bounds)
 
     # what hypothesis draws depends on the modules that are loaded beside; it ends at the first that is found
     with pytest.raises(Broken):
--- a/tests/test_stile.py
+++ b/tests/test_proxy.py
@@ -1,4 +1,4 @@
-"""The proxy among whole clusters in simulated weather: what must hold of a request, a quota, a budget."""
+"""The proxy among whole clusters in simulated simulation: what must hold of a request, a quota, a budget."""
 
 from __future__ import annotations
 
@@ -9,23 +9,23 @@
 
 import pytest
 
-from loomstand.weather.book import Talk
-from loomstand.weather.loop import Life, play
-from loomstand.weather.network import Sky
-from loomstand.weather.people import Server
-from loomstand.weather.streams import WINDOW, Cables, Streams
-from loomstand.weather.town import FRONT, SERVING, Town
+from loomstand.simulation.cluster import FRONT, SERVING, Cluster
+from loomstand.simulation.http_log import Talk
+from loomstand.simulation.loop import Life, play
+from loomstand.simulation.network import SimNetwork
+from loomstand.simulation.streams import WINDOW, Cables, Streams
+from loomstand.simulation.workload import Server
 
 
 @pytest.fixture
 def town():
-    made = Town(1, proxies=2)
+    made = Cluster(1, proxies=2)
     made.do(made.begin())
     yield made
     made.close()
 
 
-def trouble(town: Town, what: str, share: float = 1.0, few: int = 99, service: str = "alpha") -> None:
+def trouble(town: Cluster, what: str, share: float = 1.0, few: int = 99, service: str = "alpha") -> None:
     servers = town.servers[service]
     if few == 1:  # the one that is used: a proxy of few requests keeps to some
         town.do(gets(town, 6, name=service[0]))
@@ -34,12 +34,12 @@
         server.trouble, server.share = what, share
 
 
-def tried(town: Town) -> Counter[str]:
+def tried(town: Cluster) -> Counter[str]:
     """How often each request came to any server."""
     return Counter(run.id for run in town.book.arrivals)
 
 
-async def gets(town: Town, count: int, tries: int = 1, name: str = "a") -> Counter[int]:
+async def gets(town: Cluster, count: int, tries: int = 1, name: str = "a") -> Counter[int]:
     return Counter([(await town.get(name, tries=tries)).status for _ in range(count)])
 
 
@@ -48,7 +48,7 @@
 
 def test_a_peer_that_does_not_read_holds_up_the_writer_and_no_byte_is_lost_or_swapped():
     async def work() -> None:
-        sky = Sky(Random(1))
+        sky = SimNetwork(Random(1))
         cables = Cables(sky, Random(2))
         here, there = (Streams(cables, host, Life()) for host in ("10.0.0.1", "10.0.0.2"))
         taken: list[Talk] = []
@@ -84,7 +84,7 @@
 @pytest.mark.parametrize("how", ["kill", "off", "cut", "nobody"])
 def test_connections_end_as_their_machines_do(how):
     async def work() -> None:
-        sky = Sky(Random(1))
+        sky = SimNetwork(Random(1))
         cables = Cables(sky, Random(2))
         client, life = Streams(cables, "10.0.0.1", Life()), Life()
         loop, address = asyncio.get_running_loop(), ("10.0.0.2", 80)
@@ -205,7 +205,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("what", ["surplus", "late"])
 def test_a_surplus_answer_reaches_no_other_request(what, seed):
-    town = Town(seed, proxies=2, servers=1)
+    town = Cluster(seed, proxies=2, servers=1)
     town.do(town.begin())
     trouble(town, what, share=0.7)
     target = ("GET", "town.example", "/a/x", "key-of-ann")
@@ -219,7 +219,7 @@
 @pytest.mark.parametrize("what", ["cut", "spoilt", "bare"])
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_what_is_no_whole_answer_of_a_server_is_not_passed_on(what, seed):
-    town = Town(seed, proxies=1, servers=1)
+    town = Cluster(seed, proxies=1, servers=1)
     town.do(town.begin())
     trouble(town, what)
     for _ in range(12):
@@ -263,7 +263,7 @@
 # --- QUOTA
 
 
-def over(town: Town, tenant: str, rate: float, burst: float) -> list[tuple[float, int]]:
+def over(town: Cluster, tenant: str, rate: float, burst: float) -> list[tuple[float, int]]:
     """The windows of 5 s in which more of a tenant's requests ran than the rule allows."""
     at = sorted(run.at for run in town.book.runs() if run.tenant == tenant)
     most = (rate * 5 + burst) * 1.1 + 20
@@ -273,7 +273,7 @@
 
 @pytest.mark.parametrize(("seed", "lost"), [(1, "killed"), (2, "machine"), (3, "frozen"), (4, "cut")])
 def test_a_quota_holds_over_all_proxies_also_while_the_counter_is_lost(seed, lost):
-    town = Town(seed, proxies=6)
+    town = Cluster(seed, proxies=6)
     town.usual()
     town.tenant("greedy", "key-of-greedy", 40, 40)
     town.tenant("modest", "key-of-modest", 40, 40)
@@ -287,9 +287,9 @@
 
     async def day() -> None:
         if lost == "cut":  # the one that counts isn't beside the primary store, which it will lose
-            town.nurseries[first].kill()
+            town.registries[first].kill()
             await town.until(lambda: town.counters() not in ([], [first]), 2.0)
-            town.nurseries[first].start()
+            town.registries[first].start()
         calm = town.loop.create_task(
             town.flow(modest, 25, 19, *what, "/m/x", "key-of-modest", idempotent=True)
         )
@@ -297,14 +297,14 @@
             town.flow(greedy, 200, 19, *what, "/a/x", "key-of-greedy", idempotent=True, tries=1)
         )
         await asyncio.sleep(8)
-        nursery, store = town.core(counting := town.counting())
+        registry, store = town.core(counting := town.counting())
         if lost == "cut":
             town.sky.cut(first, counting)
         before.extend(r for r in town.book.replies.values())
         if lost == "frozen":
-            nursery.freeze()
+            registry.freeze()
         elif lost != "cut":
-            nursery.kill()
+            registry.kill()
         if lost == "machine":
             store.kill()
         await asyncio.sleep(2)
@@ -312,7 +312,7 @@
         weights.reverse()  # the last split's parts are all at the wrong proxies
         await asyncio.sleep(3)
         town.sky.mend()
-        (nursery.thaw if nursery.up else nursery.start)()
+        (registry.thaw if registry.up else registry.start)()
         if lost == "machine":
             store.start()
         await asyncio.gather(calm, flood)
@@ -337,7 +337,7 @@
 @pytest.mark.parametrize(("rate", "usual", "hot"), [(40, 24, 130), (5, 3, 40)])
 def test_a_tenant_that_turns_hot_at_many_proxies_at_once_stays_within_its_quota(rate, usual, hot):
     """Each proxy sees some two of its requests a second, or less: what the others let in it hears unasked."""
-    town = Town(3, proxies=60, servers=20)
+    town = Cluster(3, proxies=60, servers=20)
     town.usual()
     town.tenant("greedy", "key-of-greedy", rate, rate)
     town.do(town.begin())
@@ -360,7 +360,7 @@
 @pytest.mark.parametrize("what", ["full", "error", "reset"])
 @pytest.mark.parametrize(("few", "share"), [(2, 1.0), (4, 0.5)])
 def test_further_tries_keep_the_budget_of_all_proxies(what, few, share):
-    town = Town(1, proxies=4, servers=4)
+    town = Cluster(1, proxies=4, servers=4)
     town.do(town.begin())
     trouble(town, what, share, few)
     target = ("GET", "town.example", "/a/x", "key-of-ann")
--- a/tests/test_waking.py
+++ b/tests/test_recovery.py
@@ -6,17 +6,17 @@
 
 import lmdb
 import pytest
-from test_granary import World
+from test_store import World
 
-from loomstand.granary import waking
-from loomstand.granary.shelf import Shelf
-from loomstand.granary.views import Record
+from loomstand.store import recovery
+from loomstand.store.disk import LmdbDisk
+from loomstand.store.views import Record
 
 
 @pytest.fixture
 def shelf(tmp_path, monkeypatch):
     """A folder with member `old`, and `start`, which starts with databases that first fail to open so."""
-    monkeypatch.setattr(waking, "AGAIN", (0.0, 0.0))
+    monkeypatch.setattr(recovery, "AGAIN", (0.0, 0.0))
     opened = lmdb.open
 
     def start(*failures: Exception, stopped: bool = False) -> tuple[Record | None, int]:
@@ -28,16 +28,16 @@
             return opened(*parts, **more)
 
         monkeypatch.setattr(lmdb, "open", fails)
-        made, event = Shelf(tmp_path / "granary"), asyncio.Event()
+        made, event = LmdbDisk(tmp_path / "granary"), asyncio.Event()
         if stopped:
             event.set()
         with asyncio.Runner() as runner:
-            woken = runner.run(waking.wake(made, lambda: Record("new", False), event))
+            woken = runner.run(recovery.wake(made, lambda: Record("new", False), event))
         made.close()
         return woken and woken[0], len(left)
 
     with asyncio.Runner() as runner:
-        made = Shelf(tmp_path / "granary")
+        made = LmdbDisk(tmp_path / "granary")
         runner.run(made.save(Record("old", True, 3, None, 7, b"seven", 3).pages()))
         made.close()
     return start
@@ -46,8 +46,8 @@
 @pytest.mark.parametrize(
     "failure",
     [
-        lmdb.Error("/granary: Input/output error"), lmdb.DiskError("/granary: No space left on device"),
-        lmdb.ReadonlyError("/granary: Permission denied"), OSError(5, "Input/output error"),
+        lmdb.Error("/store: Input/output error"), lmdb.DiskError("/store: No space left on device"),
+        lmdb.ReadonlyError("/store: Permission denied"), OSError(5, "Input/output error"),
     ],
 )  # fmt: skip
 def test_a_disk_that_fails_to_open_at_first_keeps_its_member(shelf, failure):
@@ -69,7 +69,7 @@
         def close(self):
             pass
 
-    made, opened = Shelf(tmp_path / "granary"), lmdb.open
+    made, opened = LmdbDisk(tmp_path / "granary"), lmdb.open
     monkeypatch.setattr(lmdb, "open", lambda *parts, **more: Torn())
     with asyncio.Runner() as runner:
         with pytest.raises(OSError, match="fatal"):
@@ -92,16 +92,16 @@
     world.wait(2.0)
     world.first = False
     assert world.do(world.put_within(0.5))
-    before = {m.host: g.tenure.me for m, g in world.granaries()}
+    before = {m.host: g.replica.me for m, g in world.stores()}
     for machine in world.machines.values():
         machine.power_off()
         setattr(machine.platter, trouble, True)
     world.start()
     world.wait(5.0)
-    assert not world.granaries() and not world.do(world.put_within(2.0))
+    assert not world.stores() and not world.do(world.put_within(2.0))
     for machine in world.machines.values():
         setattr(machine.platter, trouble, False)
     assert world.do(world.put_within(4.5))  # the disks' next tries come within a second
     assert world.do(world.newest()) >= world.acked
-    assert {m.host: g.tenure.me for m, g in world.granaries()} == before
+    assert {m.host: g.replica.me for m, g in world.stores()} == before
     world.close()
