--- a/tests/test_nursery.py
+++ b/tests/test_registry.py
@@ -8,84 +8,84 @@
 from hypothesis import strategies as st
 
 from loomstand.door import TRY, digest
-from loomstand.furrow.frames import Foreign, Reader, pack
-from loomstand.nursery.beds import DRAINING, GONE, READY, SILENT, Bed, Beds, from_row
-from loomstand.nursery.brim import SLOTS, Brim
-from loomstand.nursery.hands import HELD, STANDS, Hands
-from loomstand.nursery.matchers import Asked, method, path, query
-from loomstand.nursery.tally import Tally
-from loomstand.orchard.configuration import Tenant
-from loomstand.stile.lists import Lists
+from loomstand.proxy.instance_view import InstanceView
+from loomstand.registry.counters import Counters
+from loomstand.registry.instances import DRAINING, GONE, READY, SILENT, Instance, InstanceTable, from_row
+from loomstand.registry.limiters import HELD, STANDS, LimiterTable
+from loomstand.registry.matchers import Asked, method, path, query
+from loomstand.registry.quota_buckets import SLOTS, QuotaBuckets
+from loomstand.rpc.frames import Foreign, Reader, pack
+from loomstand.shared.configuration import Tenant
 
 
-def bed(id_="i-1", sequence=1, state=READY, address="10.0.0.9:8080", service="a"):
-    return Bed(id_, address, service, "z", 2, state, sequence, 0.0)
+def instance(id_="i-1", sequence=1, state=READY, address="10.0.0.9:8080", service="a"):
+    return Instance(id_, address, service, "z", 2, state, sequence, 0.0)
 
 
 def test_a_late_beat_takes_no_drain_back_and_a_beat_alone_is_no_news():
-    beds = Beds(1.5)
-    assert beds.take(bed(sequence=1), 0.0)
-    assert not beds.take(bed(sequence=2), 1.5)
-    assert beds.take(bed(sequence=4, state=DRAINING), 3.0)
-    assert not beds.take(bed(sequence=3), 3.1)
-    assert [row[5] for row in beds.news(0, 3.1)] == [DRAINING]
-    assert beds.news(beds.version, 3.1) == []
+    instances = InstanceTable(1.5)
+    assert instances.take(instance(sequence=1), 0.0)
+    assert not instances.take(instance(sequence=2), 1.5)
+    assert instances.take(instance(sequence=4, state=DRAINING), 3.0)
+    assert not instances.take(instance(sequence=3), 3.1)
+    assert [row[5] for row in instances.news(0, 3.1)] == [DRAINING]
+    assert instances.news(instances.version, 3.1) == []
 
 
 def test_a_server_that_left_stays_gone_and_a_new_one_at_its_address_ends_the_old():
-    beds = Beds(1.5)
-    beds.take(bed("i-1"), 0.0)
-    beds.take(bed("i-2", service="b"), 3.0)  # the address was assigned anew, and the old one never said so
-    states = {row[0]: row[5] for row in beds.news(0, 3.0)}
+    instances = InstanceTable(1.5)
+    instances.take(instance("i-1"), 0.0)
+    instances.take(instance("i-2", service="b"), 3.0)  # has its address, and the old one never said so
+    states = {row[0]: row[5] for row in instances.news(0, 3.0)}
     assert states == {"i-1": GONE, "i-2": READY}
-    assert not beds.take(bed("i-1", sequence=99), 3.1)
+    assert not instances.take(instance("i-1", sequence=99), 3.1)
 
 
 def test_silence_is_told_and_ends_by_any_registrys_word():
-    beds, other = Beds(1.5), Beds(1.5)
-    beds.take(bed(sequence=1), 0.0)
-    other.take(bed(sequence=1), 0.0)
-    assert not beds.sweep(4.0)
-    assert beds.sweep(5.0) and beds.news(0, 5.0)[0][5] == SILENT
-    other.take(bed(sequence=3), 5.1)
-    assert not beds.alive("i-1", 3, 5.1)  # its row is needed
+    instances, other = InstanceTable(1.5), InstanceTable(1.5)
+    instances.take(instance(sequence=1), 0.0)
+    other.take(instance(sequence=1), 0.0)
+    assert not instances.sweep(4.0)
+    assert instances.sweep(5.0) and instances.news(0, 5.0)[0][5] == SILENT
+    other.take(instance(sequence=3), 5.1)
+    assert not instances.alive("i-1", 3, 5.1)  # its row is needed
     for row in other.rows(["i-1"], 5.2):
-        assert beds.take(from_row(row, 5.2), 5.2)
-    assert beds.news(0, 5.2)[0][5] == READY
+        assert instances.take(from_row(row, 5.2), 5.2)
+    assert instances.news(0, 5.2)[0][5] == READY
     # another registry's word that it is alive keeps it from falling silent here
-    assert beds.alive("i-1", 4, 9.0) and not beds.sweep(9.6)
+    assert instances.alive("i-1", 4, 9.0) and not instances.sweep(9.6)
 
 
 def test_a_limiter_is_a_member_while_its_session_stands_and_its_place_is_held_after():
-    hands = Hands()
-    hands.spoke("f-1", 0.0)
-    hands.told("f-2", 0.0, 0.0)
-    assert hands.present == ("f-1", "f-2")
-    hands.spoke("f-2", 0.0)
-    hands.told("f-2", STANDS, STANDS)  # one that spoke here is judged by that
-    hands.spoke("f-1", STANDS)
-    hands.sweep(STANDS + 0.1)
-    assert (hands.present, hands.missing) == (("f-1",), ("f-2",))
-    version = hands.version
-    hands.spoke("f-2", STANDS + 0.3)
-    assert hands.present == ("f-1", "f-2") and hands.version > version
-    hands.ended("f-1", STANDS + 0.4)  # told: nothing is held for it
-    assert (hands.present, hands.missing) == (("f-2",), ())
-    hands.sweep(STANDS + HELD + 1)
-    assert (hands.present, hands.missing) == ((), ())
+    limiters = LimiterTable()
+    limiters.spoke("f-1", 0.0)
+    limiters.told("f-2", 0.0, 0.0)
+    assert limiters.present == ("f-1", "f-2")
+    limiters.spoke("f-2", 0.0)
+    limiters.told("f-2", STANDS, STANDS)  # one that spoke here is judged by that
+    limiters.spoke("f-1", STANDS)
+    limiters.sweep(STANDS + 0.1)
+    assert (limiters.present, limiters.missing) == (("f-1",), ("f-2",))
+    version = limiters.version
+    limiters.spoke("f-2", STANDS + 0.3)
+    assert limiters.present == ("f-1", "f-2") and limiters.version > version
+    limiters.ended("f-1", STANDS + 0.4)  # told: nothing is held for it
+    assert (limiters.present, limiters.missing) == (("f-2",), ())
+    limiters.sweep(STANDS + HELD + 1)
+    assert (limiters.present, limiters.missing) == ((), ())
 
 
 def test_counts_live_as_long_as_asked_for():
-    tally = Tally(1)
-    assert [tally.add(7, 2.0, 1.0, 0.0), tally.add(7, 3.0, 1.0, 0.5)] == [2.0, 5.0]
-    tally.sweep(1.2)
-    assert tally.add(7, 0.0, 1.0, 1.2) == 5.0
-    tally.sweep(3.0)
-    assert tally.sums == {} and tally.add(7, 1.0, 1.0, 3.0) == 1.0
+    counters = Counters(1)
+    assert [counters.add(7, 2.0, 1.0, 0.0), counters.add(7, 3.0, 1.0, 0.5)] == [2.0, 5.0]
+    counters.sweep(1.2)
+    assert counters.add(7, 0.0, 1.0, 1.2) == 5.0
+    counters.sweep(3.0)
+    assert counters.sums == {} and counters.add(7, 1.0, 1.0, 3.0) == 1.0
 
 
 def test_limiters_are_told_of_a_tenant_near_its_brim_only_where_more_was_added():
-    brim, ann = Brim(), digest("ann")
+    brim, ann = QuotaBuckets(), digest("ann")
     name, other = ann << SLOTS | 7, digest("bob") << SLOTS | 7
     brim.learn([Tenant("ann", (), 1, 10.0, 10.0), Tenant("bob", (), 1, 0.0, 0.0)])
     added = [brim.counted(name, 1.0 + TRY * TRY, n * (1.0 + TRY * TRY), 0.01 * n) for n in range(1, 7)]
@@ -115,7 +115,7 @@
 
 
 def test_the_use_of_a_server_is_what_the_registries_say_together():
-    lists = Lists()
+    lists = InstanceView()
 
     def row(state, sequence, id_="i-1"):
         return [id_, "10.0.0.9:8080", "a", "z", 2, state, sequence, 0]
--- a/tests/test_rescue.py
+++ b/tests/test_rescue.py
@@ -7,21 +7,21 @@
 from random import Random
 
 import pytest
-import test_granary
+import test_store
 from pytest_bdd import given, parsers, scenarios, then, when
 from pytest_bdd.steps import StepNamePrefix
-from test_granary import HOSTS, MEMBERS, PORT, VIEW, World, member
+from test_store import HOSTS, MEMBERS, PORT, VIEW, World, member
 
-from loomstand.granary.rescue import Told, case
-from loomstand.granary.tenure import State, Tenure
-from loomstand.granary.views import MARGIN, Record, View
-from loomstand.weather.book import exchange, post
-from loomstand.weather.machine import Machine
-from loomstand.weather.town import Town
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.http_log import exchange, post
+from loomstand.simulation.machine import Machine
+from loomstand.store.replica import Replica, State
+from loomstand.store.rescue import Told, case
+from loomstand.store.views import MARGIN, Record, View
 
 # the steps that both features have
-globals().update({k: v for k, v in vars(test_granary).items() if k.startswith(StepNamePrefix.step_def.value)})
-world = test_granary.world
+globals().update({k: v for k, v in vars(test_store).items() if k.startswith(StepNamePrefix.step_def.value)})
+world = test_store.world
 scenarios("features/rescue.feature")
 
 
@@ -86,7 +86,7 @@
 
 @then("the newest acknowledged version is in force, under an epoch of the next million")
 def _(world):
-    view = world.primary().programs[0].tenure.record.view
+    view = world.primary().programs[0].replica.record.view
     assert MARGIN <= view.epoch < 2 * MARGIN and view.rescue == view.epoch == world.done["epoch"]
     assert world.done["version"] == f"r{world.acked}" and len(view.voters) == 3 and view.backup
     assert world.do(world.newest()) == world.acked
@@ -159,7 +159,7 @@
 @then("all members follow one view")
 def _(world):
     _one_view(world, world.done["epoch"])
-    view = world.primary().programs[0].tenure.record.view
+    view = world.primary().programs[0].replica.record.view
     assert (
         len(view.voters) == 3 and view.epoch > view.rescue == world.done["epoch"]
     )  # one of them votes again
@@ -167,8 +167,8 @@
 
 def _one_view(world, epoch):
     world.wait(1.0)
-    views = {g.tenure.base().epoch for _, g in world.granaries()}
-    assert len(views) == 1 and views.pop() >= epoch and len(world.granaries()) == 4
+    views = {g.replica.base().epoch for _, g in world.stores()}
+    assert len(views) == 1 and views.pop() >= epoch and len(world.stores()) == 4
 
 
 @when(parsers.re("the primary and a voter freeze"))
@@ -208,9 +208,9 @@
 def _(world):
     for _ in range(600):
         world.wait(0.005)
-        for granary in (g for m, g in world.granaries() if m is world.away[0]):
-            view = granary.tenure.record.view
-            assert granary.tenure.lease_left(granary.clock()) == 0.0 or view.epoch >= world.done["epoch"]
+        for store in (g for m, g in world.stores() if m is world.away[0]):
+            view = store.replica.record.view
+            assert store.replica.lease_left(store.clock()) == 0.0 or view.epoch >= world.done["epoch"]
 
 
 def test_a_majority_that_was_given_up_and_goes_on_behind_a_cut_stands_down_once_it_is_mended():
@@ -232,35 +232,35 @@
 
     world.do(wrong())
     old = away[0].programs[0]
-    assert old.tenure.lease_left(old.clock()) > 0.0
+    assert old.replica.lease_left(old.clock()) > 0.0
     world.sky.mend()
     world.wait(0.3)
-    serving = [g for _, g in world.granaries() if g.tenure.lease_left(g.clock()) > 0.0]
+    serving = [g for _, g in world.stores() if g.replica.lease_left(g.clock()) > 0.0]
     assert len(serving) == 1 and serving[0] is not old
-    assert all(m.programs[0].tenure.record.promised >= MARGIN for m in away)
+    assert all(m.programs[0].replica.record.promised >= MARGIN for m in away)
     World.check(world)
     world.close()
 
 
 def test_a_member_that_was_fenced_remembers_it_after_a_restart():
     new = View(MARGIN, MEMBERS[1], MEMBERS[3], (MEMBERS[1], MEMBERS[3]), (), MARGIN)
-    tenure = member(MEMBERS[0])
-    tenure.on_grant("c", 3, 5.0)
-    assert tenure.leads(5.1) and tenure.fenced() is None
-    tenure.notice(View.read(new.body()))
-    assert not tenure.leads(5.1)
-    record = tenure.fenced()
-    again = Tenure(tenure.me, tenure.seeds, Record.read(record.pages()), 9.0, Random(1))
+    replica = member(MEMBERS[0])
+    replica.on_grant("c", 3, 5.0)
+    assert replica.leads(5.1) and replica.fenced() is None
+    replica.notice(View.read(new.body()))
+    assert not replica.leads(5.1)
+    record = replica.fenced()
+    again = Replica(replica.me, replica.seeds, Record.read(record.pages()), 9.0, Random(1))
     for peer in again.peers.values():
         peer.answered = 20.0
     assert again.beat(20.0, MEMBERS[2].address)["ask"] == 0
     again.wrote(20.0, record)
     assert again.fenced() is None and not again.may_promise(20.0, 9, "b", 0)
     later = View(MARGIN + 7, MEMBERS[3], None, new.voters, (), MARGIN)
-    tenure = member(MEMBERS[1])
-    tenure.wrote(5.0, tenure.install(new))
-    tenure.notice(later)  # of the same rescue: nobody is fenced by an ordinary change
-    assert tenure.promised == MARGIN
+    replica = member(MEMBERS[1])
+    replica.wrote(5.0, replica.install(new))
+    replica.notice(later)  # of the same rescue: nobody is fenced by an ordinary change
+    assert replica.promised == MARGIN
 
 
 def said(n: int, **more) -> Told:
@@ -307,9 +307,9 @@
         machine.start()
     await asyncio.sleep(2.0)
     world.first = False
-    operators = [asyncio.create_task(test_granary._operate(world, n, rng)) for n in ("ann", "bob")]
+    operators = [asyncio.create_task(test_store._operate(world, n, rng)) for n in ("ann", "bob")]
     await asyncio.sleep(rng.uniform(0.5, 3.0))
-    lost = rng.sample([m.address[0] for m in world.primary().programs[0].tenure.record.view.voters], 2)
+    lost = rng.sample([m.address[0] for m in world.primary().programs[0].replica.record.view.voters], 2)
     renewed = rng.choice([*lost, ""])  # not both: the old disk's return in its place is one more loss
     old, named = {}, []
     for machine in (world.machines[host] for host in lost):
@@ -327,7 +327,7 @@
     if rng.random() < 0.5:  # a first one breaks off
         first = world.machines[found["chosen"]]
         word = asyncio.create_task(ask(world, named, found["token"], first.host))
-        while all(g.tenure.promised < MARGIN for _, g in world.granaries()):
+        while all(g.replica.promised < MARGIN for _, g in world.stores()):
             await asyncio.sleep(0.002)
         await asyncio.sleep(rng.uniform(0.0, 0.04))
         first.kill()
@@ -352,7 +352,7 @@
     world.sky.slow = {}
     assert await world.put_within(3.0)
     assert await world.newest() >= world.acked
-    assert {g.tenure.base().rescue > 0 for _, g in world.granaries()} == {True}
+    assert {g.replica.base().rescue > 0 for _, g in world.stores()} == {True}
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -366,7 +366,7 @@
 
 
 def test_registries_give_their_stores_back_what_those_lost():
-    town = Town(3, proxies=1)
+    town = Cluster(3, proxies=1)
     town.do(town.begin())
     town.wait(1.0)
     for host in (*town.proxies.values(), *town.stores.values()):
@@ -386,7 +386,7 @@
 
 @pytest.fixture
 def town():
-    made = Town(7, proxies=2)
+    made = Cluster(7, proxies=2)
     made.back = made.behind(made.going_back())
     yield made
     made.close()
@@ -401,7 +401,7 @@
 @given("a town at work whose core lost all disks")
 def _(town):
     town.do(town.begin())
-    hosts = [*town.stores.values(), *town.nurseries.values()]
+    hosts = [*town.stores.values(), *town.registries.values()]
     town.wait(1.0)
     for host in hosts:
         host.power_off(wipe=True)
@@ -423,7 +423,7 @@
         town.wait(0.25)
     held, town.held = town.version, town.versions[town.version]
     assert not town.do(town.replace(3.0))
-    assert {s.table.version for s in town.all_stiles()} == {held}
+    assert {s.table.version for s in town.all_proxies()} == {held}
 
 
 @when("its operators look at the rescue and give their word")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,11 +8,11 @@
 
 from expression import Error, Ok
 
-from loomstand.orchard.verdict import Verdict
-from loomstand.stile.common import ONE_WAY, Common
-from loomstand.stile.sessions import Sessions
-from loomstand.weather.loop import play
-from loomstand.weather.town import Town
+from loomstand.proxy.sessions import Sessions
+from loomstand.proxy.shared_clock import ONE_WAY, SharedClock
+from loomstand.shared.verdict import Verdict
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.loop import play
 
 
 class Registries:
@@ -53,7 +53,7 @@
 def heard(said, seconds=1.0):
     async def work():
         loop, user = asyncio.get_running_loop(), Heard()
-        settings = SimpleNamespace(seeds=(("c1", 1),), node_name="f-1", nursery=lambda ip: (ip, 1))
+        settings = SimpleNamespace(seeds=(("c1", 1),), node_name="f-1", registry=lambda ip: (ip, 1))
         sessions = Sessions(settings, Registries(said), loop.time, Random(1), user)
         sessions.start()
         await asyncio.sleep(seconds)
@@ -91,7 +91,7 @@
 
     async def work():
         loop = asyncio.get_running_loop()
-        settings = SimpleNamespace(seeds=(("c1", 1),), node_name="f-1", nursery=lambda ip: (ip, 1))
+        settings = SimpleNamespace(seeds=(("c1", 1),), node_name="f-1", registry=lambda ip: (ip, 1))
         Sessions(settings, Anew(said), loop.time, Random(1), Heard()).start()
         await asyncio.sleep(0.5)
 
@@ -104,7 +104,7 @@
 
 
 def test_late_word_of_the_common_clock_is_passed_over_and_a_clock_that_moved_is_followed():
-    common = Common()
+    common = SharedClock()
     assert common.heard(5_000 - ONE_WAY, 0) and common.shift == 5_000  # the first word counts
     assert not common.heard(5_990, 1_000) and not common.heard(9_900, 5_000)  # the latter came 10 ms late
     assert not common.heard(13_000, 10_000)  # 200 ms late, on a lossy link
@@ -116,7 +116,7 @@
 
 def test_a_limiter_that_began_with_another_time_of_day_counts_with_the_others():
     """The core was away as one proxy started, and its machine's time of day is 1,600 s off."""
-    town = Town(5, proxies=3)
+    town = Cluster(5, proxies=3)
     town.usual()
     town.tenant("greedy", "key-of-greedy", 40, 40)
     town.do(town.begin())
@@ -134,7 +134,7 @@
         await asyncio.sleep(4.0)
 
     town.do(away())
-    clocks = [stile.now() + stile.common.shift for stile in town.all_stiles()]
+    clocks = [proxy.now() + proxy.common.shift for proxy in town.all_proxies()]
     assert max(clocks) - min(clocks) <= 50  # 5 ms
     greedy, what = town.someone(), ("GET", "town.example", "/a/x", "key-of-greedy")
     town.do(town.flow(greedy, 200, 8, *what, idempotent=True, tries=1))
--- a/tests/test_orchard.py
+++ b/tests/test_shared.py
@@ -10,11 +10,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from loomstand.orchard import units
-from loomstand.orchard.configuration import ConfigurationError, Limits, parse
-from loomstand.orchard.routes import Table
-from loomstand.orchard.settings import SettingsError, read
-from loomstand.orchard.settings import parse as told
+from loomstand.shared import units
+from loomstand.shared.configuration import ConfigurationError, Limits, parse
+from loomstand.shared.routes import Table
+from loomstand.shared.settings import SettingsError, read
+from loomstand.shared.settings import parse as told
 
 STEADY = settings(derandomize=True, deadline=None, database=None)
 # Both examples are those that the bench prints for a site, names included.
@@ -116,7 +116,7 @@
     assert "quota" in node.contracts and node.losses.machines == 1 and node.losses.zones == 0
     assert (node.bounds.contact, node.bounds.revocation_global, node.bounds.budget_slack) == (4, True, 62)
     assert (node.bounds.drain, node.bounds.retry_budget_ratio) == (2.5, 0.2)  # not in this file
-    assert node.nursery("10.2.0.25") == ("10.2.0.25", 7340) and node.granary("10.2.0.25")[1] == 7341
+    assert node.registry("10.2.0.25") == ("10.2.0.25", 7340) and node.store("10.2.0.25")[1] == 7341
     assert node == told(FILE.replace("\n", "\r\n"))
     with pytest.raises(FrozenInstanceError):
         node.zone = "lac"
--- a/tests/test_granary.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""The store of configuration in simulated weather: stories, and random faults under its invariants."""
+"""The store of configuration in simulated simulation: stories, and random faults under its invariants."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from loomstand.granary.program import Granary, Place
-from loomstand.granary.shelf import Shelf
-from loomstand.granary.tenure import HOLD, LEASE, Tenure
-from loomstand.granary.views import Member, Record, View
-from loomstand.orchard.verdict import Refused
-from loomstand.weather.loop import Life, VirtualLoop
-from loomstand.weather.machine import Machine, machines
-from loomstand.weather.network import Air, Sky
+from loomstand.shared.verdict import Refused
+from loomstand.simulation.loop import Life, VirtualLoop
+from loomstand.simulation.machine import Machine, machines
+from loomstand.simulation.network import MachineNetwork, SimNetwork
+from loomstand.store.disk import LmdbDisk
+from loomstand.store.program import Place, Store
+from loomstand.store.replica import HOLD, LEASE, Replica
+from loomstand.store.views import Member, Record, View
 
-scenarios("features/granary.feature")
+scenarios("features/store.feature")
 PORT, OPERATOR = 7341, "10.9.0.1"
 HOSTS = [f"10.{zone}.0.1" for zone in range(1, 5)]
 
@@ -28,10 +28,10 @@
     def __init__(self, seed: int = 1, hosts: tuple[str, ...] = (*HOSTS,)) -> None:
         self.loop = VirtualLoop()
         self.rng = Random(seed)
-        self.sky = Sky(self.rng)
+        self.sky = SimNetwork(self.rng)
         self.first = True
         self.seeds = [*hosts[:3]]
-        self.air = Air(self.sky, OPERATOR, Life())
+        self.air = MachineNetwork(self.sky, OPERATOR, Life())
         self.machines = machines(self.sky, self.rng, [*hosts], lambda h: [self.maker(h)])
         self.sent = 0
         self.acked = 0
@@ -78,21 +78,21 @@
         except AssertionError as error:
             self.broken = error
 
-    def granaries(self) -> list[tuple[Machine, Granary]]:
+    def stores(self) -> list[tuple[Machine, Store]]:
         return [(m, g) for m in self.machines.values() if m.runs for g in m.programs if g._desk]
 
     def check(self) -> None:
         """No two serve; what is in force was sent, has one content for good, and nothing goes back."""
-        serving = [g for _, g in self.granaries() if g.tenure.lease_left(g.clock()) > 0.0]
+        serving = [g for _, g in self.stores() if g.replica.lease_left(g.clock()) > 0.0]
         assert len(serving) <= 1, f"two serve at {self.loop.time()}"
-        assert all(g.tenure.version >= self.acked for g in serving), "an acknowledged version is lost"
-        for _, granary in self.granaries():
-            version, data = granary.tenure.version, granary.tenure.data
+        assert all(g.replica.version >= self.acked for g in serving), "an acknowledged version is lost"
+        for _, store in self.stores():
+            version, data = store.replica.version, store.replica.data
             if version:
                 assert data in self.contents[version]
                 assert self.in_force.setdefault(version, data) == data
-            assert self.held.get(granary, 0) <= version
-            self.held[granary] = version
+            assert self.held.get(store, 0) <= version
+            self.held[store] = version
 
     def primary(self) -> Machine:
         found = self.primary_now()
@@ -100,10 +100,10 @@
         return found
 
     def primary_now(self) -> Machine | None:
-        return next((m for m, g in self.granaries() if g.tenure.lease_left(g.clock()) > 0.0), None)
+        return next((m for m, g in self.stores() if g.replica.lease_left(g.clock()) > 0.0), None)
 
     def whom(self, words: str) -> Machine:
-        view = self.primary().programs[0].tenure.record.view
+        view = self.primary().programs[0].replica.record.view
         voters = [m.address[0] for m in view.voters]
         named = {"the primary": view.primary.address[0], "the backup": view.backup.address[0]}
         rest = [h for h in voters if h not in named.values()]
@@ -154,7 +154,7 @@
             self.loop.close()
 
 
-class Watched(Granary):
+class Watched(Store):
     """One that is looked at as it begins to serve, before it takes anything new."""
 
     def __init__(self, world: World, *parts) -> None:
@@ -162,9 +162,9 @@
         self.world = world
 
     def _crown(self) -> None:
-        before = self.tenure.reign
+        before = self.replica.reign
         super()._crown()
-        if self.tenure.reign and not before:
+        if self.replica.reign and not before:
             self.world.check_soon()
 
 
@@ -235,9 +235,9 @@
 
 @then("the old primary acknowledges nothing for its own part")
 def _(world, old):
-    assert not old.programs[0].tenure.writes(old.programs[0].clock())
+    assert not old.programs[0].replica.writes(old.programs[0].clock())
     world.wait(0.5)
-    assert not old.programs[0].tenure.writes(old.programs[0].clock())
+    assert not old.programs[0].replica.writes(old.programs[0].clock())
 
 
 @when(
@@ -312,7 +312,7 @@
 @then(parsers.parse("all machines hold the newest acknowledged version within {s:g} s"))
 def _(world, s):
     world.wait(s)
-    assert {g.tenure.version for _, g in world.granaries()} == {world.acked}
+    assert {g.replica.version for _, g in world.stores()} == {world.acked}
 
 
 @when("the backup loses power")
@@ -355,19 +355,19 @@
 
 @then("only new machines vote")
 def _(world):
-    view = world.primary().programs[0].tenure.record.view
+    view = world.primary().programs[0].replica.record.view
     assert all(h.endswith(".2") for h in (m.address[0] for m in view.named().values()))
     assert len(view.voters) == 3
 
 
 @given("a store on a real disk with one record", target_fixture="shelf")
 def _(world, tmp_path):
-    shelf = Shelf(tmp_path / "granary")
+    shelf = LmdbDisk(tmp_path / "granary")
     with asyncio.Runner() as runner:
         assert runner.run(shelf.load()) == {}
         runner.run(shelf.save({"vote": b"1", "member": b"a" * 9000}))
         shelf.close()
-        again = Shelf(tmp_path / "granary")
+        again = LmdbDisk(tmp_path / "granary")
         assert runner.run(again.load()) == {"vote": b"1", "member": b"a" * 9000}
         again.close()
     return tmp_path / "granary"
@@ -382,7 +382,7 @@
 @then("it loads as an empty disk and can be written again")
 def _(shelf):
     with asyncio.Runner() as runner:
-        again = Shelf(shelf)
+        again = LmdbDisk(shelf)
         assert runner.run(again.load()) == {}
         runner.run(again.save({"vote": b"2"}))
         assert runner.run(again.load()) == {"vote": b"2"}
@@ -420,13 +420,13 @@
 VIEW = View(3, A, B, (A, B, C))
 
 
-def member(me: Member, now: float = 0.0) -> Tenure:
+def member(me: Member, now: float = 0.0) -> Replica:
     """A member in VIEW that holds version 7, started at `now`."""
     record = Record(me.id, True, 3, VIEW, 7, b"seven", 3)
-    tenure = Tenure(me, tuple(m.address for m in MEMBERS[:3]), record, now, Random(1))
-    for peer in tenure.peers.values():
+    replica = Replica(me, tuple(m.address for m in MEMBERS[:3]), record, now, Random(1))
+    for peer in replica.peers.values():
         peer.answered = 1e9  # all the while
-    return tenure
+    return replica
 
 
 def test_a_backup_writes_nothing_older_than_what_it_has():
@@ -438,15 +438,15 @@
 
 
 def test_who_hands_out_its_data_takes_nothing_more_of_that_epoch():
-    tenure = member(B)
-    tenure.fetch(5, "c")
+    replica = member(B)
+    replica.fetch(5, "c")
     with pytest.raises(Refused):
-        tenure.keep(3, "a", 8, b"eight")
+        replica.keep(3, "a", 8, b"eight")
     with pytest.raises(Refused):
-        tenure.install(VIEW)
+        replica.install(VIEW)
     with pytest.raises(Refused):
-        tenure.fetch(4, "d")
-    assert tenure.on_beat(9.0, member(A).beat(9.0, B.address))["granted"] == 0
+        replica.fetch(4, "d")
+    assert replica.on_beat(9.0, member(A).beat(9.0, B.address))["granted"] == 0
     primary = member(A)
     primary.on_grant("c", 3, 9.0)
     assert primary.leads(9.1)
@@ -455,29 +455,29 @@
 
 
 def test_a_voter_promises_nobody_else_while_a_grant_may_stand():
-    tenure = member(C, now=10.0)
-    assert not tenure.may_promise(10.0 + HOLD - 0.01, 4, "b", 0)  # of an earlier life
-    assert tenure.may_promise(10.1, 4, "a", 0) and tenure.may_promise(10.1, 4, "b", 3)
-    assert tenure.may_promise(10.0 + HOLD, 4, "b", 0) and not tenure.may_promise(12.0, 3, "b", 0)
-    assert tenure.on_beat(20.0, member(A).beat(20.0, C.address))["granted"] == 3
-    assert not tenure.may_promise(20.0 + HOLD - 0.01, 4, "b", 0)
-    assert tenure.may_promise(20.0 + HOLD, 4, "b", 0)
+    replica = member(C, now=10.0)
+    assert not replica.may_promise(10.0 + HOLD - 0.01, 4, "b", 0)  # of an earlier life
+    assert replica.may_promise(10.1, 4, "a", 0) and replica.may_promise(10.1, 4, "b", 3)
+    assert replica.may_promise(10.0 + HOLD, 4, "b", 0) and not replica.may_promise(12.0, 3, "b", 0)
+    assert replica.on_beat(20.0, member(A).beat(20.0, C.address))["granted"] == 3
+    assert not replica.may_promise(20.0 + HOLD - 0.01, 4, "b", 0)
+    assert replica.may_promise(20.0 + HOLD, 4, "b", 0)
     stranger = member(Member("x", A.address))
-    assert tenure.on_beat(30.0, stranger.beat(30.0, C.address))["granted"] == 0
+    assert replica.on_beat(30.0, stranger.beat(30.0, C.address))["granted"] == 0
 
 
 def test_a_primary_serves_only_what_its_backup_has_and_while_its_lease_lasts():
-    tenure = member(A)
-    tenure.on_grant("c", 2, 5.0)
-    assert not tenure.leads(5.1)
-    tenure.on_grant("c", 3, 5.0)
-    assert tenure.leads(5.1) and not tenure.crown(5.1) and tenure.lease_left(5.1) == 0.0
-    tenure.settled = 3
-    assert tenure.crown(5.1) and tenure.version == 7 and tenure.writes(5.0 + LEASE - 0.01)
-    assert not tenure.may_promise(5.0 + LEASE - 0.01, 4, "b", 0)
-    tenure.promise(5.2, 4, "a", 0)  # a change of its own view begins: it serves on, but writes nothing
-    assert tenure.lease_left(5.3) > 0.0 and not tenure.writes(5.3)
-    assert tenure.lease_left(5.0 + LEASE) == 0.0 and not tenure.writes(5.0 + LEASE)
+    replica = member(A)
+    replica.on_grant("c", 2, 5.0)
+    assert not replica.leads(5.1)
+    replica.on_grant("c", 3, 5.0)
+    assert replica.leads(5.1) and not replica.crown(5.1) and replica.lease_left(5.1) == 0.0
+    replica.settled = 3
+    assert replica.crown(5.1) and replica.version == 7 and replica.writes(5.0 + LEASE - 0.01)
+    assert not replica.may_promise(5.0 + LEASE - 0.01, 4, "b", 0)
+    replica.promise(5.2, 4, "a", 0)  # a change of its own view begins: it serves on, but writes nothing
+    assert replica.lease_left(5.3) > 0.0 and not replica.writes(5.3)
+    assert replica.lease_left(5.0 + LEASE) == 0.0 and not replica.writes(5.0 + LEASE)
 
 
 def test_a_changed_view_needs_both_sets_of_voters():
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,4 +1,4 @@
-"""Whole clusters in simulated weather: the stories of `features/system.feature`."""
+"""RegistryService clusters in simulated simulation: the stories of `features/system.feature`."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from loomstand.weather.town import FRONT, Town
-from loomstand.weather.troubles import Troubles
+from loomstand.simulation.cluster import FRONT, Cluster
+from loomstand.simulation.faults import Faults
 
 scenarios("features/system.feature")
 APPLY = 2.5  # s: the rule's bound
@@ -20,33 +20,33 @@
 
 @pytest.fixture
 def town():
-    made = Town(7)
+    made = Cluster(7)
     made.back = made.behind(made.going_back())
     made.flows = []
     yield made
     made.close()
 
 
-def first(town: Town) -> str:
+def first(town: Cluster) -> str:
     return next(iter(town.proxies))
 
 
-async def at_all(town: Town, name: str, wanted: int, key: str = "key-of-ann", only: str = "") -> None:
+async def at_all(town: Cluster, name: str, wanted: int, key: str = "key-of-ann", only: str = "") -> None:
     """What each proxy answers on a route."""
     for ip in [only] if only else town.proxies:
         _, reply = await town.once(name, key, ip)
         assert reply.status == wanted, (ip, reply)
 
 
-async def all_have(town: Town, within: float) -> float:
+async def all_have(town: Cluster, within: float) -> float:
     newest = town.version
     return await town.until(
-        lambda: len(town.all_stiles()) == len(town.proxies)
-        and all(s.table is not None and s.table.version == newest for s in town.all_stiles()), within
+        lambda: len(town.all_proxies()) == len(town.proxies)
+        and all(s.table is not None and s.table.version == newest for s in town.all_proxies()), within
     )  # fmt: skip
 
 
-async def add(town: Town) -> None:
+async def add(town: Cluster) -> None:
     town.route(NEW, "alpha", "non_idempotent")
     assert await town.replace()
 
@@ -176,11 +176,11 @@
 
     async def drain():
         at, core = await server.drain()
-        nursery, store = town.core(core[0])
+        registry, store = town.core(core[0])
         if "registry" in what:
-            nursery.kill()
+            registry.kill()
         elif "power" in what:
-            nursery.power_off()
+            registry.power_off()
             store.power_off()
         elif "cut off" in what:
             town.sky.apart([core[0]], [ip for ip in (*town.core_ips, *town.proxies) if ip != core[0]])
@@ -223,15 +223,15 @@
             await asyncio.sleep(3.7)  # nobody can know of a cut at once: the store takes 2.5 s
         await add(town)
         if "killed" in what:
-            for host in (*town.stores.values(), *town.nurseries.values()):
+            for host in (*town.stores.values(), *town.registries.values()):
                 host.kill()
         town.proxies[ip].start()
         await asyncio.sleep(0.6)
         if "cut off" in what:
-            assert town.stile(ip).table.version < town.version and not await town.ready(ip)
+            assert town.proxy(ip).table.version < town.version and not await town.ready(ip)
             town.sky.cuts -= others
         if "killed" in what:
-            for host in (*town.stores.values(), *town.nurseries.values()):
+            for host in (*town.stores.values(), *town.registries.values()):
                 host.start()
 
     town.do(again())
@@ -239,9 +239,9 @@
 
 @then("it has the newest configuration when it is first ready")
 def _(town):
-    stile = town.stile(first(town))
-    town.do(town.until(lambda: stile.able, 8.0))
-    assert stile.table.version == town.version
+    proxy = town.proxy(first(town))
+    town.do(town.until(lambda: proxy.able, 8.0))
+    assert proxy.table.version == town.version
     town.do(at_all(town, NEW, 200, only=first(town)))
 
 
@@ -250,19 +250,19 @@
 
 @when(parsers.re("a route is added and right after it (?P<what>.*)"))
 def _(town, what):
-    stores, nurseries = [*town.stores.values()], [*town.nurseries.values()]
+    stores, registries = [*town.stores.values()], [*town.registries.values()]
     proxies = [*town.proxies.values()] if "proxies" in what else []
 
     async def lose():
         primary = town.counting()
         await add(town)
-        for host in (*stores, *nurseries, *proxies):
+        for host in (*stores, *registries, *proxies):
             if "killed" in what:
                 host.kill()
             else:
                 host.power_off(wipe=host is town.stores[primary] and "wiped" in what)
         await asyncio.sleep(0.7)
-        for host in (*stores, *nurseries, *proxies):
+        for host in (*stores, *registries, *proxies):
             host.start()
 
     town.do(lose())
@@ -288,7 +288,7 @@
 
 @when("all of the core loses power")
 def _(town):
-    for host in (*town.stores.values(), *town.nurseries.values()):
+    for host in (*town.stores.values(), *town.registries.values()):
         host.power_off()
 
 
@@ -367,10 +367,10 @@
 def _(town):
     async def roll():
         for ip in town.core_ips:
-            nursery, store = town.core(ip)
-            await asyncio.gather(nursery.end(), store.end())
+            registry, store = town.core(ip)
+            await asyncio.gather(registry.end(), store.end())
             await asyncio.sleep(0.3)
-            nursery.start()
+            registry.start()
             store.start()
             await asyncio.sleep(1.0)
 
@@ -410,7 +410,7 @@
 KINDS = ["core", "proxy", "term", "leave", "server", "trouble", "alone", "freeze", "disk", "swap"]
 
 
-async def _day(town: Town, rng: Random) -> None:
+async def _day(town: Cluster, rng: Random) -> None:
     await town.begin()
     acked, flows = town.version, []
     for keep in (True, False):
@@ -419,7 +419,7 @@
         for method, name, again in (("GET", "a", True), ("POST", "once", False)):
             what = (method, "town.example", f"/{name}/x", "key-of-ann", b"" if again else b"body" * 50)
             flows.append(town.behind(town.flow(client, 15, 20, *what, idempotent=again)))
-    troubles = Troubles(town, rng)
+    troubles = Faults(town, rng)
     for _ in range(5):
         await troubles.one(KINDS)
         town.route(f"n{town.version}", rng.choice([*town.servers]))
@@ -440,7 +440,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_day_of_random_faults_breaks_no_rule(seed):
-    town = Town(seed)
+    town = Cluster(seed)
     back = town.behind(town.going_back())
     town.do(_day(town, Random(seed + 100)))
     assert not back.done()
