Orders: the first content acknowledged under a number is the only one

Cause: a second content under a number that is held, or was, was answered 200 and dropped, so two operators were confirmed under one number. Another content gets 409, the same one 200 again.

--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -449,7 +449,11 @@
             return 400, problem(str(why))
         got = await self.store("put", {"version": configuration.version, "data": body}, STORE_WITHIN)
         if got.is_ok():
-            return 200, json.dumps({"version": f"r{int(got.ok['version'])}"}).encode()
+            held = f"r{int(got.ok['version'])}"
+            if got.ok.get("conflict"):
+                said = f"r{configuration.version} was taken with another content; {held} is in force"
+                return 409, problem(said)
+            return 200, json.dumps({"version": held}).encode()
         return 503, problem(f"not stored: {got.error.value}")
 
     async def read(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
--- a/loomstand/store/election.py
+++ b/loomstand/store/election.py
@@ -8,6 +8,7 @@
 
 from loomstand.shared.verdict import Verdict
 from loomstand.store.ballot import Ballot, Held
+from loomstand.store.orders import NONE, Orders
 from loomstand.store.replica import FOUNDING, Plan, Step
 from loomstand.store.replica_io import Desk
 from loomstand.store.views import Member
@@ -134,12 +135,13 @@
     async def _data(self, epoch: int) -> Held | None:
         """What the view before had in force, or may have: of its primary or its backup, the backup first."""
         replica = self.desk.replica
-        held = self.ballot.own(replica)
+        held, replica.fetched = self.ballot.own(replica), NONE
         for member in self.ballot.sources():
             if held is None:
                 answer = await self.desk.ask(member, "fetch", {"epoch": epoch, "asker": replica.me.id})
                 if not isinstance(answer, Verdict):
                     held = (answer["version"], answer["data"])
+                    replica.fetched = Orders.read(answer.get("orders"), *held)
         return self.ballot.prevails(replica, held)
 
     async def _backup(self, epoch: int, version: int, data: bytes) -> tuple[bool, Member | None]:
--- a/loomstand/store/program.py
+++ b/loomstand/store/program.py
@@ -16,6 +16,7 @@
 from loomstand.store.disk import Disk
 from loomstand.store.duty_calls import Lending
 from loomstand.store.election import Release, campaign
+from loomstand.store.orders import Answer, Orders, digest
 from loomstand.store.recovery import wake
 from loomstand.store.replica import ABSENT, BEAT, Plan, Replica, State, Step
 from loomstand.store.replica_io import CALL, Body, Desk
@@ -53,6 +54,7 @@
         self.beating: set[Address] = set()
         self.pulling = False
         self.stopped = asyncio.Event()
+        self.conflicts, self.conflict = 0, (0, b"")  # orders refused for their number, and the last one
         self.aid = RescueCalls(lambda: self.desk, self.busy, rng, self._crown)
         self._lending: Lending | None = None
 
@@ -276,7 +278,8 @@
         """The answer to a call; Refused if it did nothing.
 
         Of stores: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
-        {version, data} -> {version: the one in force}; read {} -> {version, data}; status {} and wait
+        {version, data} -> {version: the one in force, conflict: True if the number stands for another content
+        and this one is refused for good}; read {} -> {version, data}; status {} and wait
         {have: version, mark: of the last answer, within: seconds} -> {version, mark, epoch, primary: [host,
         port] or None, cores: [[host, port]], ready, duty: [epoch, number, host] or None} and, from wait, data
         if there is a newer version than `have`; duty {host, life} -> {span: seconds from the sending, duty}
@@ -296,11 +299,12 @@
                 return await self._promise(body)
             case "keep":
                 epoch, asker, version, data = body["epoch"], body["asker"], body["version"], body["data"]
-                await self.desk.ink(lambda now: replica.keep(epoch, asker, version, data))
+                orders = Orders.read(body.get("orders"), version, data)
+                await self.desk.ink(lambda now: replica.keep(epoch, asker, version, data, orders))
                 return {}
             case "fetch":
                 held = await self.desk.ink(lambda now: replica.fetch(body["epoch"], body["asker"]))
-                return {"version": held.version, "data": held.data}
+                return {"version": held.version, "data": held.data, "orders": held.orders.body()}
             case "install":
                 view = View.read(body["view"])
                 if view is not None:
@@ -359,35 +363,57 @@
                 if not replica.leads(self.clock()):
                     return await self._hand_on(op, body, ANSWER - 0.05)
                 async with self.busy:
-                    return {"version": await self._take(version, data)}
+                    taken = await self._take(version, data, op == "put")
+                    return {"version": replica.version} | ({} if taken else {"conflict": True})
         except TimeoutError:
             raise Refused("not in time") from None
 
-    async def _take(self, version: int, data: bytes) -> int:
-        """Puts a version in force, if it's higher; the one in force. As the primary, under `busy`."""
+    async def _take(self, version: int, data: bytes, order: bool) -> bool:
+        """Puts a version in force, if it's higher; False if it's an order whose number stands for another
+        content (see `Answer`). As the primary, under `busy`."""
         replica = self.replica
         if replica.leads(self.clock()) and (not replica.reign or replica.record.version > replica.version):
             await self._settle()
         if not replica.writes(self.clock()):
             raise Refused("not the primary")
-        if version > replica.version:
-            view = replica.record.view
-            assert view is not None
-            backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
-            own = self.desk.ink(lambda now: replica.own(view.epoch, version, data))
-            wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
-            if isinstance(wrote, BaseException):
-                raise Refused("its disk")
-            if any(kept):
-                # what it wrote may be in force: another backup may settle it while the asker still waits
-                plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
-                if not await self._campaign(plan):
-                    replica.postpone(self.clock())
-                    raise Refused("no backup")
-            if not replica.writes(self.clock()) or replica.record.version != version:
-                raise Refused("the lease is over")
-            self._commit()
-        return replica.version
+        answer = replica.orders.judge(replica.version, replica.data, version, data)
+        known = replica.orders.passed(version, digest(data))
+        if answer is Answer.TAKE:
+            await self._write(version, data)
+        elif order and answer is Answer.CONFLICT:
+            self._conflict(version, digest(data))
+            return False
+        elif order and answer is Answer.PASSED and known != replica.orders:
+            if replica.record.version != replica.version:
+                raise Refused("what it wrote last isn't settled")
+            replica.orders = known
+            await self._write(replica.version, replica.data)
+        return True
+
+    async def _write(self, version: int, data: bytes) -> None:
+        """Has a configuration with its orders on its disk and the backup's, and puts it in force."""
+        replica, view = self.replica, self.replica.record.view
+        assert view is not None
+        backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
+        own = self.desk.ink(lambda now: replica.own(view.epoch, version, data))
+        wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
+        if isinstance(wrote, BaseException):
+            raise Refused("its disk")
+        if any(kept):
+            # what it wrote may be in force: another backup may settle it while the asker still waits
+            plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
+            if not await self._campaign(plan):
+                replica.postpone(self.clock())
+                raise Refused("no backup")
+        if not replica.writes(self.clock()) or replica.record.version != version:
+            raise Refused("the lease is over")
+        self._commit()
+
+    def _conflict(self, version: int, content: bytes) -> None:
+        self.conflicts += 1
+        if self.conflict != (version, content):
+            self.conflict = (version, content)
+            logging.info("store: r%d was taken with another content: refused", version)
 
     async def _read(self, body: Body) -> Body:
         replica = self.replica
@@ -427,6 +453,7 @@
             "cores": [[*a] for a in replica.cores(now)],
             "ready": replica.informed and self.lending.fresh(),
             "duty": self.lending.told(),
+            "conflicts": self.conflicts,
             "mark": self.mark,
         }
 
--- a/loomstand/store/replica.py
+++ b/loomstand/store/replica.py
@@ -21,6 +21,7 @@
 
 from loomstand.rpc import Address
 from loomstand.shared.verdict import Refused
+from loomstand.store.orders import NONE, Orders, digest
 from loomstand.store.views import Member, Record, View, newest
 
 BEAT = 0.25  # s between two beats to the same store: four fit into a lease
@@ -94,6 +95,8 @@
     reign: bool = False  # what a primary holds when it begins has been committed
     version: int = 0  # the newest committed
     data: bytes = b""
+    orders: Orders = NONE  # of what was acknowledged, as far as it's remembered here
+    fetched: Orders = NONE  # that came with the configuration that a candidate was handed
     informed: bool = False  # that is from a serving primary, if only by way of others
     state: State = State.FIT
     doubted: dict[str, float] = field(default_factory=dict)
@@ -289,11 +292,21 @@
 
     def commit(self, version: int, data: bytes) -> bool:
         news = version > self.version or not self.informed
+        if (version, data) == (self.record.version, self.record.data):  # the others don't answer orders
+            self.orders = self.orders_with(version, data)
         if version > self.version:
             self.version, self.data = version, data
         self.informed = True
         return news
 
+    def orders_with(self, version: int, data: bytes) -> Orders:
+        """What is to be written together with a configuration: what was acknowledged before, and it."""
+        if not version:
+            return NONE
+        content, known = digest(data), (self.fetched, self.record.orders)
+        known = (self.orders, *known) if self.reign else (*known, self.orders)
+        return next((o for o in known if o.ends(version, content)), self.orders.after(version, content))
+
     def resign(self) -> None:
         """Before it stands for an election: what counts from here on is given anew."""
         self.granted.clear()
@@ -330,8 +343,10 @@
         if to != self.me.id:  # asked of the disk that was here before
             raise Refused("another disk")
 
-    def keep(self, epoch: int, asker: str, version: int, data: bytes) -> Record:
-        """The primary's write, or a candidate's copy.
+    def keep(
+        self, epoch: int, asker: str, version: int, data: bytes, orders: Orders = NONE
+    ) -> Record:
+        """The primary's write, or a candidate's copy; `orders` as the asker has them.
 
         Within an epoch versions only grow: bytes that a cut held up may come after later ones.
         """
@@ -341,13 +356,16 @@
         if epoch == held.written and version <= held.version and (version, data) != (held.version, held.data):
             raise Refused("a later write")
         self._raise(epoch, asker)
-        return replace(held, promised=epoch, version=version, data=data, written=epoch)
+        return replace(held, promised=epoch, version=version, data=data, written=epoch, orders=orders)
 
     def own(self, epoch: int, version: int, data: bytes) -> Record:
         """The primary's write to its own disk."""
         if epoch != self.promised:
             raise Refused("a newer epoch")
-        return replace(self.record, promised=epoch, version=version, data=data, written=epoch)
+        orders = self.orders_with(version, data)
+        return replace(
+            self.record, promised=epoch, version=version, data=data, written=epoch, orders=orders
+        )
 
     def fetch(self, epoch: int, asker: str) -> Record:
         if epoch < self.promised:
--- a/loomstand/store/replica_io.py
+++ b/loomstand/store/replica_io.py
@@ -97,6 +97,7 @@
     async def keep(self, member: Member, epoch: int, version: int, data: bytes) -> Verdict | None:
         """Has `member` write the configuration; None once it has. One that doesn't answer is doubted."""
         body = {"epoch": epoch, "asker": self.replica.me.id, "version": version, "data": data}
+        body |= {"orders": self.replica.orders_with(version, data).body()}
         answer = await self.ask(member, "keep", body, KEEP)
         if not isinstance(answer, Verdict):
             return None
--- a/loomstand/store/views.py
+++ b/loomstand/store/views.py
@@ -9,6 +9,7 @@
 import cbor2
 
 from loomstand.rpc import Address
+from loomstand.store.orders import NONE, Orders
 
 # A rescue's epoch is in the next million above all that is known in reach, and views go on within their
 # million only (Ballot.epoch): so members that were given up, wherever they are, never get above it. Its
@@ -113,6 +114,7 @@
     version: int = 0
     data: bytes = field(default=b"", repr=False)
     written: int = 0  # the epoch under which the configuration was written
+    orders: Orders = NONE  # the last of them is of this configuration; none where that isn't known
 
     def pages(self, old: Record | None = None) -> dict[str, bytes]:
         """What differs from `old`, as it's written: a promise doesn't write the configuration anew."""
@@ -123,6 +125,9 @@
             pages["vote"] = cbor2.dumps([self.promised, self.view.body() if self.view else None])
         if old is None or (old.written, old.version, old.data) != (self.written, self.version, self.data):
             pages["configuration"] = cbor2.dumps([self.written, self.version, self.data])
+        # a page of its own, so that older programs read the rest
+        if self.orders != (old.orders if old is not None else NONE):
+            pages["orders"] = cbor2.dumps(self.orders.body())
         return pages
 
     @staticmethod
@@ -134,6 +139,7 @@
             id, founder = cbor2.loads(pages["member"])
             promised, view = cbor2.loads(pages["vote"])
             written, version, data = cbor2.loads(pages["configuration"])
-            return Record(id, founder, promised, View.read(view), version, data, written)
+            orders = Orders.read(cbor2.loads(pages["orders"]) if "orders" in pages else None, version, data)
+            return Record(id, founder, promised, View.read(view), version, data, written, orders)
         except (KeyError, ValueError, TypeError, EOFError):
             return None
