--- a/loomstand/store/orders.py
+++ b/loomstand/store/orders.py
@@ -14,10 +14,10 @@
 from hashlib import sha256
 from typing import Any
 
-# Numbers remembered, the newest. Eight orders may be under way at once, and an operator sends one again for
-# some seconds: at ten changes a second 256 are half a minute. As bytes they are 4 KB, half of a usual
-# configuration, and they go with each write. A number that was forgotten is answered as one never taken.
-KEPT = 256
+# Numbers remembered, the newest: more than a day of hundreds of changes has, and at ten changes a second over
+# a minute and a half, while an operator sends an unclear order again for seconds. They go with each write, as
+# 12 bytes each. A number that was forgotten is answered as one never taken.
+KEPT = 1024
 DIGEST = 8  # bytes: two contents of one number that share them by chance are one in 10**19
 
 
--- a/loomstand/store/program.py
+++ b/loomstand/store/program.py
@@ -27,6 +27,7 @@
 TICK = 0.1  # s between two looks at what is due
 HOPS = 2  # how often a change or a question is handed on
 FRESH = 0.4  # s for which the serving primary holds back an answer to `wait`: a third of the lease
+CLASHED = 100  # numbers of refused orders that aren't told of again in the log
 PARTING = 3.0  # s that a leaving store gives others to take its places: half of the grace period
 
 
@@ -54,7 +55,7 @@
         self.beating: set[Address] = set()
         self.pulling = False
         self.stopped = asyncio.Event()
-        self.conflicts, self.conflict = 0, (0, b"")  # orders refused for their number, and the last one
+        self.conflicts, self.clashed = 0, set[int]()  # orders refused for their number, and those told of
         self.aid = RescueCalls(lambda: self.desk, self.busy, rng, self._crown)
         self._lending: Lending | None = None
 
@@ -381,7 +382,7 @@
         if answer is Answer.TAKE:
             await self._write(version, data)
         elif order and answer is Answer.CONFLICT:
-            self._conflict(version, digest(data))
+            self._conflict(version)
             return False
         elif order and answer is Answer.PASSED and known != replica.orders:
             if replica.record.version != replica.version:
@@ -409,10 +410,10 @@
             raise Refused("the lease is over")
         self._commit()
 
-    def _conflict(self, version: int, content: bytes) -> None:
+    def _conflict(self, version: int) -> None:
         self.conflicts += 1
-        if self.conflict != (version, content):
-            self.conflict = (version, content)
+        if version not in self.clashed:
+            self.clashed = {*sorted(self.clashed)[-CLASHED:], version}
             logging.info("store: r%d was taken with another content: refused", version)
 
     async def _read(self, body: Body) -> Body:
