--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from random import Random
 
 import pytest
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 from test_store import World, _fault
 
+from loomstand.simulation.cluster import Cluster
 from loomstand.store import orders
 from loomstand.store.orders import NONE, Answer, Orders, digest, same
 from loomstand.store.replica import Replica
@@ -227,3 +229,88 @@
     with pytest.raises(AssertionError):
         for seed in range(8):
             play(seed)
+
+
+# --- by the registry, and after a rescue
+
+
+def said(town: Cluster, ip: str, version: int, more: str = "") -> int:
+    """The status that a registry answers an order with, sent again until it's clear."""
+
+    async def send() -> int:
+        body = town.body(version).replace(b"5000ms", more.encode() or b"5000ms")
+        town.operator.at = town.core_ips.index(ip)
+        got = await town.operator.call("configuration.replace", body, 8.0)
+        assert got is not None
+        return got.status
+
+    return town.do(send())
+
+
+def test_registries_refuse_another_content_through_takeover_restart_and_a_lost_disk():
+    town = Cluster(3)
+    town.do(town.begin())
+    first, number = town.core_ips, town.version + 5
+    held = (number, number + 4)
+    assert said(town, first[0], held[0]) == 200 == said(town, first[1], held[1])
+
+    def look() -> None:
+        for ip in town.core_ips:
+            for version in held:
+                assert said(town, ip, version) == 200
+                assert said(town, ip, version, "4000ms") == 409
+            assert said(town, ip, number + 1) == 200  # a lower one that was never taken
+            assert said(town, ip, number + 1, "4000ms") == 409
+        assert json.loads(town.do(town.operator.read()))["version"] == f"r{held[1]}"
+
+    look()
+    for trouble in ("kill", "power", "wipe"):
+        struck = [ip for ip in first if town.serves(ip)] if trouble != "power" else first
+        assert struck
+        for ip in struck:
+            for host in town.core(ip):
+                host.kill() if trouble == "kill" else host.power_off(wipe=trouble == "wipe")
+        if trouble == "kill":
+            town.wait(2.0)  # another takes over meanwhile
+
+        async def back(hosts) -> None:
+            for host in hosts:
+                host.start()
+            await asyncio.sleep(4.0)
+
+        town.do(back([host for ip in struck for host in town.core(ip)]))
+        look()
+    town.close()
+
+
+def test_after_a_rescue_what_was_confirmed_is_not_refused():
+    world = World(5)
+    world.start()
+    world.wait(2.0)
+    world.first = False
+    ledger = Ledger(world)
+    for version in (2, 5, 7):
+        assert world.do(ledger.order("10.1.0.1", version, "ann"))
+    lost = [world.whom("the primary"), world.whom("the backup")]
+    for machine in lost:
+        machine.power_off(wipe=True)
+    world.wait(0.2)
+    world.start()
+    world.wait(5.0)
+
+    async def found() -> None:
+        for _ in range(30):
+            case = (await world.air.call(("10.4.0.1", 7341), "rescue", {"gone": [], "token": None}, 5.0)).ok
+            token = case["case"]["token"]
+            said = (await world.air.call(("10.4.0.1", 7341), "rescue", {"gone": [], "token": token}, 5.0)).ok
+            if "done" in said:
+                return
+            await asyncio.sleep(0.3)
+        raise AssertionError(case)
+
+    world.do(found())
+    world.wait(1.0)
+    for host in world.machines:
+        assert all(world.do(ledger.order(host, version, "ann")) for version in (2, 5, 7))
+        assert world.do(ledger.order(host, 7, "bob")) is False
+    world.close()
