--- a/loomstand/proxy/sessions.py
+++ b/loomstand/proxy/sessions.py
@@ -174,11 +174,12 @@
         if self.clock() - self.fetching < HEDGE:
             await asyncio.sleep(0.05)  # another session brings it
             return
-        self.fetching = self.clock()
+        asked = self.fetching = self.clock()
         got = await self.network.call(address, "fetch", {"z": True}, self.within)
         self.fetching = -HEDGE
         # of thousands of routes to many limiters at once it may take longer: each try in vain is given more
-        self.within = FETCH_WITHIN if got.is_ok() else min(FETCH_MOST, 2 * self.within)
+        took = self.clock() - asked if got.is_ok() else self.within
+        self.within = max(FETCH_WITHIN, min(FETCH_MOST, 2 * took))
         if got.is_ok() and got.ok["version"] > self.version:
             version, data = int(got.ok["version"]), unpacked(got.ok)
             if data and self.user.configured(version, data):
--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -36,9 +36,12 @@
 KNOWN = 1.2  # seconds for which the store's last word counts: the length of its lease
 STORE_WITHIN = 0.95  # operators wait a second
 READ_WITHIN = 0.8
-# Bytes from which a configuration is packed for limiters: a hundred routes. Of thousands it takes a hundredth
-# of the link, which a hundred limiters ask at once; packing 3 MB takes 15 ms, once a version.
-PACKED = 32_000
+# Bytes from which a configuration is packed for limiters. A usual one of 7 KB comes to a fifth, thousands of
+# routes, which a hundred limiters ask for at once, to a twentieth; packing 3 MB takes 15 ms, once a version.
+PACKED = 2_000
+# Bytes from which quotas are learnt only once the limiters had the time to ask, and those seconds: to read
+# thousands of routes takes longer here than to hand them out.
+LATER = 500_000, 0.2
 ASK = 0.6  # seconds that a limiter's call waits for news: half of what a session stands
 
 
@@ -379,7 +382,10 @@
         if int(said["version"]) > self.version and "data" in said:
             self.version, self.data = int(said["version"]), bytes(said["data"])
             logging.info("configuration r%d held", self.version)
-            self.quotas()
+            if len(self.data) < LATER[0]:
+                self.quotas()
+            else:
+                asyncio.get_running_loop().call_later(LATER[1], self.quotas)
             self.wake()
         if int(said["version"]) < self.version and not self.offering:
             self.offering = True  # its store has lost it, and may be the one that is asked what is left
@@ -402,6 +408,7 @@
             self.offering = False
 
     def quotas(self) -> None:
+        """The tenants' quotas are those of the configuration held."""
         try:
             if self.parsed is None or self.parsed.raw != self.data:
                 self.parsed = self.reader.parse(self.data)
--- a/loomstand/registry/service.py
+++ b/loomstand/registry/service.py
@@ -11,7 +11,7 @@
 from loomstand.rpc.outside import Outside
 from loomstand.shared.settings import Settings
 
-# Bytes of a call: a configuration of 24,000 routes. With one a registry or a limiter takes 160 MB of some 300,
+# Bytes of a call: a configuration of 24,000 routes. With it a registry or a limiter takes 160 MB of some 300,
 # a store's file 40 of its disk's 256, and a frame of ours (rpc/frames.py) holds it with room to spare.
 MOST_BODY = 8 << 20
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -1,34 +1,310 @@
-"""Hundreds of changes, and configurations of thousands of routes."""
+"""Hundreds of changes with members away for most of them, and configurations of thousands of routes."""
 
 from __future__ import annotations
 
+import asyncio
 import json
+import os
+from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
+from expression import Error, Ok
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_store import World
 
-from loomstand.shared.configuration import ConfigurationError, parse
+from loomstand.proxy import sessions
+from loomstand.registry import program
+from loomstand.registry.service import MOST_BODY
+from loomstand.rpc.frames import Reader as Frames
+from loomstand.rpc.frames import pack
+from loomstand.shared import configuration
+from loomstand.shared.configuration import ConfigurationError, Reader, parse
+from loomstand.shared.verdict import Verdict
+from loomstand.simulation.cluster import Cluster
+from loomstand.simulation.loop import play
+from loomstand.store import disk
+from loomstand.store.disk import LmdbDisk
+from loomstand.store.orders import KEPT
+from loomstand.store.replica import Replica
 
 
-def body(routes: int, version: int = 7, **more: Any) -> bytes:
-    """So many routes of two services; `more` is changed in the first."""
+def resources(routes: int) -> list[dict[str, Any]]:
+    """So many routes of two services."""
     spec = {
         "host": "town.example", "route_kind": "idempotent", "timeout": "5000ms", "target_latency": "800ms",
         "priority": 2, "maximum_attempts": 2, "public": False,
         "traffic_split": [{"service_name": "alpha", "weight": 90}, {"service_name": "beta", "weight": 10}],
     }  # fmt: skip
-    found: list[dict[str, Any]] = [
-        {"resource_kind": "services", "metadata": {"name": name}, "specification": {}}
-        for name in ("alpha", "beta")
-    ]
-    for n in range(routes):
-        own = spec | {"path_prefix": f"/r{n}/"} | (more if n == 0 else {})
-        found.append({"resource_kind": "routes", "metadata": {"name": f"r-{n}"}, "specification": own})
+    found = [("services", name, {}) for name in ("alpha", "beta")]
+    found += [("tenants", "ann", {"api_keys": ["key"], "rate_per_s": 5})]
+    found += [("routes", f"r-{n}", spec | {"path_prefix": f"/r{n}/"}) for n in range(routes)]
+    return [{"resource_kind": k, "metadata": {"name": n}, "specification": s} for k, n, s in found]
+
+
+def body(found: list[dict[str, Any]], version: int = 7) -> bytes:
     return json.dumps({"version": f"r{version}", "resources": found}).encode()
 
 
 @pytest.mark.parametrize("timeout", ["0ms", "0s", "0.0s"])
 def test_a_route_without_time_is_refused(timeout):
-    assert parse(body(2)).routes[0].timeout == 5.0
-    with pytest.raises(ConfigurationError, match=r"resources\[2\] route r-0: specification.timeout: 0$"):
-        parse(body(2, timeout=timeout))
+    found = resources(2)
+    assert parse(body(found)).routes[0].timeout == 5.0
+    found[3]["specification"]["timeout"] = timeout
+    with pytest.raises(ConfigurationError, match=r"resources\[3\] route r-0: specification.timeout: 0$"):
+        parse(body(found))
+
+
+# --- read again by what changed
+
+FIELDS = {
+    "priority": (1, 1.0, True, "1", None, 3), "public": (True, 1, False, 0), "host": ("a.example", "", "A"),
+    "path_prefix": ("/r0/", "/r1/", "r"), "service_name": ("alpha", "gone", None), "timeout": ("0ms", "9s"),
+    "traffic_split": ([], [{"service_name": "beta", "weight": 0}], [{"service_name": "gone", "weight": 1}]),
+    "api_keys": (["key"], [], ["key", "other"]), "rate_per_s": (5.0, True, 7),
+}  # fmt: skip
+STEP = st.sampled_from(sorted(FIELDS)).flatmap(
+    lambda name: st.tuples(st.integers(0, 6), st.just(name), st.sampled_from(FIELDS[name]))
+)
+
+
+def outcome(read, raw: bytes) -> Any:
+    try:
+        return read(raw)
+    except ConfigurationError as why:
+        return str(why)
+
+
+def compare(steps, kept: bool) -> None:
+    """Changes one after another, each on top of the one before, or of the last that was valid."""
+    reader, found = Reader(), resources(4)
+    for n, (at, name, value) in enumerate(steps):
+        changed = json.loads(json.dumps(found))
+        changed[at]["specification"][name] = value
+        if n % 4 == 3:
+            changed.append(changed.pop(at))
+        raw = body(changed, n)
+        mine, plain = outcome(reader.parse, raw), outcome(parse, raw)
+        assert repr(mine) == repr(plain)  # 1 and 1.0 are equal
+        if kept or not isinstance(plain, str):
+            found = changed
+
+
+@given(st.lists(STEP, max_size=12), st.booleans())
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_what_is_read_by_what_changed_is_what_is_read_whole(steps, kept):
+    compare(steps, kept)
+
+
+def test_values_that_are_equal_and_not_the_same_are_told_apart(monkeypatch):
+    steps = [(3, "public", False), (3, "public", 0)]
+    compare(steps, False)
+    monkeypatch.setattr(configuration.marshal, "dumps", lambda r, _: repr(r).replace("False", "0").encode())
+    with pytest.raises(AssertionError):
+        compare(steps, False)
+
+
+def test_a_change_of_few_routes_reads_few(monkeypatch):
+    reads, found, before = [], resources(3000), configuration._found
+    monkeypatch.setattr(configuration, "_found", lambda at, r: reads.append(at) or before(at, r))
+    reader = Reader()
+    reader.parse(body(found, 1))
+    assert len(reads) == 3003
+    found[70]["specification"]["timeout"] = "4s"
+    assert reader.parse(body(found, 2)).routes[67].timeout == 4.0 and reads[3003:] == [70]
+
+
+# --- hundreds of changes
+
+
+async def changes(world: World, many: int, away: str) -> None:
+    """Each acknowledged before the next, eight a second at most; `away` takes no part."""
+    for _ in range(many):
+        assert await world.put_within(6.0, (away,))
+        await asyncio.sleep(0.1)
+
+
+async def a_long_day(world: World, rng: Random) -> None:
+    hosts = [*world.machines]
+    for machine in world.machines.values():
+        machine.start()
+    await asyncio.sleep(1.5)
+    world.first = False
+    for kind in ("power", "cut", "wipe", "freeze", "all"):
+        first = world.primary_now() if rng.random() < 0.6 else None
+        struck = first or world.machines[rng.choice(hosts)]
+        if kind in ("power", "wipe", "all"):
+            struck.power_off(wipe=kind == "wipe")
+        elif kind == "cut":
+            world.sky.apart([struck.host], [h for h in hosts if h != struck.host])
+        else:
+            struck.freeze()
+        await changes(world, 105, struck.host)
+        if kind == "all":  # the one that missed a hundred is the first that is back
+            for machine in world.machines.values():
+                machine.power_off()
+            struck.start()
+            await asyncio.sleep(1.0)
+            assert world.primary_now() is None
+            for machine in world.machines.values():
+                if machine is not struck:
+                    machine.start()
+        elif kind in ("power", "wipe"):
+            struck.start()
+        elif kind == "cut":
+            world.sky.mend()
+        else:
+            struck.thaw()
+        await changes(world, 5, "")
+    await asyncio.sleep(1.0)
+    assert world.sent >= 550
+    for machine, store in world.stores():
+        assert store.replica.version == world.acked, f"{machine.host} never caught up"
+        assert sum(map(len, machine.platter.pages.values())) < 1000 + 16 * KEPT
+        assert len(store.desk.tasks) < 20 and len(store.replica.orders.taken) <= KEPT
+
+
+def long_day(seed: int) -> None:
+    world = World(seed)
+    try:
+        world.do(a_long_day(world, Random(seed)))
+        world.close()
+    finally:
+        world.loop.close()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_members_that_missed_a_hundred_changes_catch_up_and_none_leads_with_less(seed):
+    long_day(seed)
+
+
+def test_without_what_it_is_told_a_member_never_catches_up(monkeypatch):
+    commit = Replica.commit
+    behind = lambda self, v, d: False if v > self.version + 90 and self.version else commit(self, v, d)  # noqa: E731
+    monkeypatch.setattr(Replica, "commit", behind)
+    with pytest.raises(AssertionError):
+        long_day(0)
+
+
+def away_for(versions: int) -> float:
+    """Seconds after a cut of so many versions until a limiter has the newest, while changes go on."""
+    town = Cluster(5)
+    town.do(town.begin())
+    ip = next(iter(town.proxies))
+    town.sky.apart([ip], town.core_ips)
+
+    async def many(number: int) -> None:
+        for n in range(number):
+            town.route(f"n{n % 7}", ("alpha", "beta")[n % 2], timeout=f"{1000 + n}ms")
+            assert await town.replace()
+            await asyncio.sleep(0.02)
+
+    town.do(many(versions))
+    assert town.proxy(ip).table.version < town.version - versions
+    town.sky.mend()
+    newest, going = town.version, town.behind(many(60))
+    took = town.do(town.until(lambda: town.proxy(ip).table.version >= newest, 4.0))
+    town.do(asyncio.wait_for(going, 60.0))
+    town.do(town.until(lambda: all(p.table.version == town.version for p in town.all_proxies()), 0.5))
+    town.close()
+    return took
+
+
+def test_a_limiter_that_missed_three_hundred_versions_has_the_newest_within_its_bound():
+    assert away_for(300) < 2.5
+
+
+class Slow:
+    """A registry that has a newer configuration each 0.3 s and takes 2 s to hand one out."""
+
+    async def call(self, address, op, said, within):
+        loop = asyncio.get_running_loop()
+        if op == "ask":
+            await asyncio.sleep(0.1)
+            new = int(loop.time() / 0.3) + 1
+            return Ok({"s": 7, "h": 1, "rows": [], "c": new})
+        if within < 2.0:
+            await asyncio.sleep(within)
+            return Error(Verdict.MAY_HAVE_RUN)
+        await asyncio.sleep(2.0)
+        return Ok({"version": int(loop.time() / 0.3), "data": b"whole"})
+
+
+def fetched() -> list[int]:
+    async def work() -> list[int]:
+        got: list[int] = []
+        user = SimpleNamespace(
+            servers=lambda *_: None, common_clock=lambda: None, clock_told=lambda *_: None,
+            configured=lambda version, data: got.append(version) or True,
+        )  # fmt: skip
+        conf = SimpleNamespace(seeds=(("c1", 1),), node_name="f-1", registry=lambda ip: (ip, 1))
+        made = sessions.Sessions(conf, Slow(), asyncio.get_running_loop().time, Random(1), user)
+        made.start()
+        await asyncio.sleep(20.0)
+        return got
+
+    return play(work)
+
+
+def test_a_configuration_that_takes_longer_than_the_changes_apart_comes_all_the_same(monkeypatch):
+    got = fetched()
+    assert len(got) >= 5 and got == sorted(got)
+    monkeypatch.setattr(sessions, "FETCH_MOST", sessions.FETCH_WITHIN)
+    assert not fetched()
+
+
+# --- thousands of routes
+
+
+def test_thousands_of_routes_are_acknowledged_packed_and_in_force(monkeypatch):
+    sent, answered = [], program.Registry.fetch
+
+    async def fetch(self, said):
+        answer = await answered(self, said)
+        sent.append(len(answer.get("z", answer.get("data", b""))))
+        return answer
+
+    monkeypatch.setattr(program.Registry, "fetch", fetch)
+    town = Cluster(6, proxies=2)
+    town.do(town.begin())
+    for n in range(3000):
+        town.route(f"many{n}", ("alpha", "beta")[n % 2])
+    assert town.do(town.replace())
+    town.do(town.until(lambda: all(p.table.version == town.version for p in town.all_proxies()), 2.0))
+    size = len(town.versions[town.version])
+    assert size > 700_000 and max(sent) < size / 10
+    assert town.do(town.operator.read()) == town.versions[town.version]
+    large = town.do(town.operator.call("configuration.replace", b" " * (MOST_BODY + 1), 5.0))
+    assert large.status == 413 and b"long" in large.body
+    town.close()
+
+
+def test_what_cannot_be_unpacked_is_nothing():
+    assert sessions.unpacked({"version": 7, "z": b"torn"}) == b""
+    assert sessions.unpacked({"version": 7, "data": b"plain"}) == b"plain"
+
+
+def test_the_largest_body_fits_into_a_frame_and_on_the_disk(tmp_path, monkeypatch):
+    raw = os.urandom(MOST_BODY)
+    frame = pack([1, "keep", {"version": 2**62, "data": raw, "orders": [[2**62] * KEPT, b"12345678" * KEPT]}])
+    assert next(Frames().feed(frame))[2]["data"] == raw
+
+    def write(folder: str) -> int:
+        rng, made = Random(3), LmdbDisk(tmp_path / folder)
+        with asyncio.Runner() as runner:
+            try:
+                for _ in range(24):
+                    size = rng.choice((7000, rng.randrange(MOST_BODY), MOST_BODY))
+                    runner.run(made.save({"configuration": raw[:size], "orders": raw[: 12 * KEPT]}))
+                    runner.run(made.save({"vote": raw[:300]}))
+                assert len(runner.run(made.load())["configuration"]) == size
+            finally:
+                made.close()
+        return (tmp_path / folder / "data.mdb").stat().st_size
+
+    assert write("one") < 64 << 20
+    monkeypatch.setattr(disk, "SIZE", 2 * MOST_BODY)
+    with pytest.raises(OSError, match="MAP_FULL"):
+        write("other")
