Registry: large orders at once are bounded in memory

Cause: eight orders of 8 MB sent to one registry at once took it to 330 MB, its limit is 296. Change: 12 MB of orders in hand at once, 503 beyond, which operators send on to another.

--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -42,6 +42,9 @@
 # Bytes from which quotas are learnt only once the limiters had the time to ask, and those seconds: to read
 # thousands of routes takes longer here than to hand them out.
 LATER = 500_000, 0.2
+# Bytes of orders in hand at once: each costs twenty times its size while it is read, and is held until the
+# store has it. Eight of 8 MB at once took this process to 330 MB of its 296; so they take it to 201.
+IN_HAND = 12 << 20
 ASK = 0.6  # seconds that a limiter's call waits for news: half of what a session stands
 
 
@@ -67,6 +70,7 @@
         self.reader = Reader()
         self.parsed: Configuration | None = None  # the last that was read
         self.packed = 0, b""  # the version held, as `fetch` sends it
+        self.in_hand = 0  # bytes of orders that wait for the store
         self.sure = False  # whether it is known to be the newest: a primary was heard of
         self.holding = CountingLease(settings.ip_address, self.rng.getrandbits(32))
         self.settled = clock() + SETTLED
@@ -465,6 +469,15 @@
         return 200, b"{}"
 
     async def replace(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        if self.in_hand and self.in_hand + len(body) > IN_HAND:
+            return 503, problem("busy with other large configurations")
+        self.in_hand += len(body)
+        try:
+            return await self.order(body)
+        finally:
+            self.in_hand -= len(body)
+
+    async def order(self, body: bytes) -> tuple[int, bytes]:
         try:
             configuration = self.parsed = self.reader.parse(body)
         except ConfigurationError as why:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -281,6 +281,24 @@
     town.close()
 
 
+def test_large_orders_at_once_wait_their_turn(monkeypatch):
+    town = Cluster(4, proxies=1)
+    town.do(town.begin())
+    number, registry = town.version, town.registry(town.core_ips[0])
+    orders = [town.body(number + 1 + n) for n in range(8)]
+
+    async def at_once() -> list[int]:
+        calls = (registry.outside(b"POST", b"/api/rpc?call=configuration.replace", o) for o in orders)
+        return sorted(status for status, _ in await asyncio.gather(*calls))
+
+    assert town.do(at_once()) == [200] * 8 and registry.in_hand == 0
+    monkeypatch.setattr(program, "IN_HAND", 3 * len(orders[0]) + 3)
+    assert town.do(at_once()) == [200] * 3 + [503] * 5 and registry.in_hand == 0
+    monkeypatch.setattr(program, "IN_HAND", 10)  # one that is larger by itself is taken, too
+    assert town.do(registry.outside(b"POST", b"/api/rpc?call=configuration.replace", orders[7]))[0] == 200
+    town.close()
+
+
 def test_what_cannot_be_unpacked_is_nothing():
     assert sessions.unpacked({"version": 7, "z": b"torn"}) == b""
     assert sessions.unpacked({"version": 7, "data": b"plain"}) == b"plain"
