--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -520,7 +520,7 @@
             "store": store and {
                 "version": f"r{int(store['version'])}", "epoch": int(store["epoch"]),
                 "primary": text(store["primary"]), "backup": text(store.get("backup")),
-                "ready": bool(store["ready"]),
+                "ready": bool(store["ready"]), "conflicts": int(store.get("conflicts", 0)),
             },
         }  # fmt: skip
         return 200, json.dumps(said).encode()
