--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import time
+import zlib
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -22,8 +23,8 @@
 from loomstand.registry.matchers import Asked, method, path, query
 from loomstand.registry.quota_buckets import QuotaBuckets
 from loomstand.registry.rescue import rescue
-from loomstand.rpc.network import Address, Body, Network
-from loomstand.shared.configuration import ConfigurationError, parse
+from loomstand.rpc.network import Address, Body, Network, carry
+from loomstand.shared.configuration import Configuration, ConfigurationError, Reader
 from loomstand.shared.settings import Settings
 from loomstand.shared.units import address_text
 from loomstand.shared.verdict import Refused, Verdict
@@ -35,6 +36,15 @@
 KNOWN = 1.2  # seconds for which the store's last word counts: the length of its lease
 STORE_WITHIN = 0.95  # operators wait a second
 READ_WITHIN = 0.8
+# Bytes from which a configuration is packed for limiters. A usual one of 7 KB comes to a fifth, thousands of
+# routes, which a hundred limiters ask for at once, to a twentieth; packing 3 MB takes 15 ms, once a version.
+PACKED = 2_000
+# Bytes from which quotas are learnt only once the limiters had the time to ask, and those seconds: to read
+# thousands of routes takes longer here than to hand them out.
+LATER = 500_000, 0.2
+# Bytes of orders in hand at once: each costs twenty times its size while it is read, and is held until the
+# store has it. Eight of 8 MB at once took this process to 330 MB of its 296; so they take it to 201.
+IN_HAND = 12 << 20
 ASK = 0.6  # seconds that a limiter's call waits for news: half of what a session stands
 
 
@@ -57,6 +67,10 @@
         self.hands_told = 0  # of the limiters' versions
         self.facts = 0  # grows with what limiters hear beside servers
         self.version, self.data = 0, b""  # the configuration
+        self.reader = Reader()
+        self.parsed: Configuration | None = None  # the last that was read
+        self.packed = 0, b""  # the version held, as `fetch` sends it
+        self.in_hand = 0  # bytes of orders that wait for the store
         self.sure = False  # whether it is known to be the newest: a primary was heard of
         self.holding = CountingLease(settings.ip_address, self.rng.getrandbits(32))
         self.settled = clock() + SETTLED
@@ -196,13 +210,18 @@
             self.fact()
 
     async def fetch(self, body: Body) -> Body:
-        return {"version": self.version, "data": self.data}
+        """The configuration; packed for one that says `z`, if it's large."""
+        if not body.get("z") or len(self.data) < PACKED:
+            return {"version": self.version, "data": self.data}
+        if self.packed[0] != self.version:
+            self.packed = self.version, zlib.compress(self.data, 1)
+        return {"version": self.version, "z": self.packed[1]}
 
     async def offer(self, body: Body) -> Body:
         """A limiter holds a newer configuration than this registry: the store may have lost it."""
         version, data = int(body["version"]), bytes(body["data"])
         if version > self.version:
-            await self.store("offer", {"version": version, "data": data}, STORE_WITHIN)
+            await self.store("offer", {"version": version, "data": data}, STORE_WITHIN + carry(len(data)))
         return {}
 
     async def count(self, body: Body) -> Body:
@@ -367,7 +386,10 @@
         if int(said["version"]) > self.version and "data" in said:
             self.version, self.data = int(said["version"]), bytes(said["data"])
             logging.info("configuration r%d held", self.version)
-            self.quotas()
+            if len(self.data) < LATER[0]:
+                self.quotas()
+            else:
+                asyncio.get_running_loop().call_later(LATER[1], self.quotas)
             self.wake()
         if int(said["version"]) < self.version and not self.offering:
             self.offering = True  # its store has lost it, and may be the one that is asked what is left
@@ -384,13 +406,17 @@
         """Gives the store beside it the configuration held here, which that doesn't know to be in force."""
         here = self.settings.store(self.settings.ip_address)
         try:
-            await self.network.call(here, "offer", {"version": self.version, "data": self.data}, STORE_WITHIN)
+            said = {"version": self.version, "data": self.data}
+            await self.network.call(here, "offer", said, STORE_WITHIN + carry(len(self.data)))
         finally:
             self.offering = False
 
     def quotas(self) -> None:
+        """The tenants' quotas are those of the configuration held."""
         try:
-            self.quota_buckets.learn(parse(self.data).tenants or ())
+            if self.parsed is None or self.parsed.raw != self.data:
+                self.parsed = self.reader.parse(self.data)
+            self.quota_buckets.learn(self.parsed.tenants or ())
         except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
             logging.error("configuration r%d can't be used: %s", self.version, why)
 
@@ -443,17 +469,31 @@
         return 200, b"{}"
 
     async def replace(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
+        if self.in_hand and self.in_hand + len(body) > IN_HAND:
+            return 503, problem("busy with other large configurations")
+        self.in_hand += len(body)
+        try:
+            return await self.order(body)
+        finally:
+            self.in_hand -= len(body)
+
+    async def order(self, body: bytes) -> tuple[int, bytes]:
         try:
-            configuration = parse(body)
+            configuration = self.parsed = self.reader.parse(body)
         except ConfigurationError as why:
             return 400, problem(str(why))
-        got = await self.store("put", {"version": configuration.version, "data": body}, STORE_WITHIN)
+        within = STORE_WITHIN + carry(len(body))
+        got = await self.store("put", {"version": configuration.version, "data": body}, within)
         if got.is_ok():
-            return 200, json.dumps({"version": f"r{int(got.ok['version'])}"}).encode()
+            held = f"r{int(got.ok['version'])}"
+            if got.ok.get("conflict"):
+                said = f"r{configuration.version} was taken with another content; {held} is in force"
+                return 409, problem(said)
+            return 200, json.dumps({"version": held}).encode()
         return 503, problem(f"not stored: {got.error.value}")
 
     async def read(self, asked: Asked, body: bytes) -> tuple[int, bytes]:
-        got = await self.store("read", {}, READ_WITHIN)
+        got = await self.store("read", {}, READ_WITHIN + carry(len(self.data)))
         if got.is_ok() and got.ok.get("data"):
             return 200, bytes(got.ok["data"])
         return 503, problem("no store that knows the newest is in reach")
@@ -480,7 +520,7 @@
             "store": store and {
                 "version": f"r{int(store['version'])}", "epoch": int(store["epoch"]),
                 "primary": text(store["primary"]), "backup": text(store.get("backup")),
-                "ready": bool(store["ready"]),
+                "ready": bool(store["ready"]), "conflicts": int(store.get("conflicts", 0)),
             },
         }  # fmt: skip
         return 200, json.dumps(said).encode()
--- a/loomstand/store/program.py
+++ b/loomstand/store/program.py
@@ -12,10 +12,12 @@
 from expression import Result
 
 from loomstand.rpc import Address, Network
+from loomstand.rpc.network import carry
 from loomstand.shared.verdict import Refused, Verdict
 from loomstand.store.disk import Disk
 from loomstand.store.duty_calls import Lending
 from loomstand.store.election import Release, campaign
+from loomstand.store.orders import Answer, Orders, digest
 from loomstand.store.recovery import wake
 from loomstand.store.replica import ABSENT, BEAT, Plan, Replica, State, Step
 from loomstand.store.replica_io import CALL, Body, Desk
@@ -24,8 +26,10 @@
 
 ANSWER = 0.85  # s in which a change is acknowledged or refused
 TICK = 0.1  # s between two looks at what is due
+PULLED = 2.0  # s at most for bringing what is in force: 8 MB with much else on the link
 HOPS = 2  # how often a change or a question is handed on
 FRESH = 0.4  # s for which the serving primary holds back an answer to `wait`: a third of the lease
+CLASHED = 100  # numbers of refused orders that aren't told of again in the log
 PARTING = 3.0  # s that a leaving store gives others to take its places: half of the grace period
 
 
@@ -51,8 +55,9 @@
         self.shown: tuple[Any, ...] = ()
         self.mark = rng.getrandbits(24)  # of what is shown: another one in each life
         self.beating: set[Address] = set()
-        self.pulling = False
+        self.pulling, self.slow = False, CALL
         self.stopped = asyncio.Event()
+        self.conflicts, self.clashed = 0, set[int]()  # orders refused for their number, and those told of
         self.aid = RescueCalls(lambda: self.desk, self.busy, rng, self._crown)
         self._lending: Lending | None = None
 
@@ -171,9 +176,12 @@
             return
         self.pulling = True
         try:
-            match await self.network.call(address, "held", {}, CALL):
+            match await self.network.call(address, "held", {}, self.slow):
                 case Result(tag="ok", ok=answer):
                     self._learn(answer)
+                    self.slow = CALL
+                case _:  # it may be larger than the one held here: the next try is given more
+                    self.slow = min(PULLED, 2 * self.slow)
         finally:
             self.pulling = False
 
@@ -188,7 +196,8 @@
         body = {"version": replica.version, "data": replica.data}
         for address, peer in replica.peers.items():
             if now - peer.answered < ABSENT:
-                self.desk.spawn(self.network.call(address, "news", body, CALL))
+                within = CALL + carry(len(replica.data))
+                self.desk.spawn(self.network.call(address, "news", body, within))
 
     # --- what is due
 
@@ -276,7 +285,8 @@
         """The answer to a call; Refused if it did nothing.
 
         Of stores: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
-        {version, data} -> {version: the one in force}; read {} -> {version, data}; status {} and wait
+        {version, data} -> {version: the one in force, conflict: True if the number stands for another content
+        and this one is refused for good}; read {} -> {version, data}; status {} and wait
         {have: version, mark: of the last answer, within: seconds} -> {version, mark, epoch, primary: [host,
         port] or None, cores: [[host, port]], ready, duty: [epoch, number, host] or None} and, from wait, data
         if there is a newer version than `have`; duty {host, life} -> {span: seconds from the sending, duty}
@@ -296,11 +306,12 @@
                 return await self._promise(body)
             case "keep":
                 epoch, asker, version, data = body["epoch"], body["asker"], body["version"], body["data"]
-                await self.desk.ink(lambda now: replica.keep(epoch, asker, version, data))
+                orders = Orders.read(body.get("orders"), version, data)
+                await self.desk.ink(lambda now: replica.keep(epoch, asker, version, data, orders))
                 return {}
             case "fetch":
                 held = await self.desk.ink(lambda now: replica.fetch(body["epoch"], body["asker"]))
-                return {"version": held.version, "data": held.data}
+                return {"version": held.version, "data": held.data, "orders": held.orders.body()}
             case "install":
                 view = View.read(body["view"])
                 if view is not None:
@@ -355,45 +366,73 @@
         if op == "offer":
             self.aid.given(version, data)
         try:
-            async with asyncio.timeout(ANSWER):
+            async with asyncio.timeout(ANSWER + carry(len(data))):
                 if not replica.leads(self.clock()):
-                    return await self._hand_on(op, body, ANSWER - 0.05)
+                    return await self._hand_on(op, body, ANSWER - 0.05 + carry(len(data)))
                 async with self.busy:
-                    return {"version": await self._take(version, data)}
+                    taken = await self._take(version, data, op == "put")
+                    return {"version": replica.version} | ({} if taken else {"conflict": True})
         except TimeoutError:
             raise Refused("not in time") from None
 
-    async def _take(self, version: int, data: bytes) -> int:
-        """Puts a version in force, if it's higher; the one in force. As the primary, under `busy`."""
+    async def _take(self, version: int, data: bytes, order: bool) -> bool:
+        """Puts a version in force, if it's higher; False if it's an order whose number stands for another
+        content (see `Answer`). As the primary, under `busy`."""
         replica = self.replica
         if replica.leads(self.clock()) and (not replica.reign or replica.record.version > replica.version):
             await self._settle()
         if not replica.writes(self.clock()):
             raise Refused("not the primary")
-        if version > replica.version:
-            view = replica.record.view
-            assert view is not None
-            backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
-            own = self.desk.ink(lambda now: replica.own(view.epoch, version, data))
-            wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
-            if isinstance(wrote, BaseException):
-                raise Refused("its disk")
-            if any(kept):
-                # what it wrote may be in force: another backup may settle it while the asker still waits
-                plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
-                if not await self._campaign(plan):
-                    replica.postpone(self.clock())
-                    raise Refused("no backup")
-            if not replica.writes(self.clock()) or replica.record.version != version:
-                raise Refused("the lease is over")
-            self._commit()
-        return replica.version
+        answer = replica.orders.judge(replica.version, replica.data, version, data)
+        if answer is Answer.TAKE:
+            await self._write(version, data)
+        elif order and answer is Answer.CONFLICT:
+            self._conflict(version)
+            return False
+        elif order and answer is Answer.PASSED:
+            await self._note_passed(replica.orders.passed(version, digest(data)))
+        return True
+
+    async def _note_passed(self, orders: Orders) -> None:
+        """Has on both disks that a lower number was acknowledged, unless it's too low to be remembered."""
+        replica = self.replica
+        if orders == replica.orders:
+            return
+        if replica.record.version != replica.version:
+            raise Refused("what it wrote last isn't settled")
+        replica.orders = orders
+        await self._write(replica.version, replica.data)
+
+    async def _write(self, version: int, data: bytes) -> None:
+        """Has a configuration with its orders on its disk and the backup's, and puts it in force."""
+        replica, view = self.replica, self.replica.record.view
+        assert view is not None
+        backup = [self.desk.keep(view.backup, view.epoch, version, data)] if view.backup else []
+        own = self.desk.ink(lambda now: replica.own(view.epoch, version, data))
+        wrote, *kept = await asyncio.gather(own, *backup, return_exceptions=True)
+        if isinstance(wrote, BaseException):
+            raise Refused("its disk")
+        if any(kept):
+            # what it wrote may be in force: another backup may settle it while the asker still waits
+            plan = Plan(Step.MOVE, "its backup doesn't write", view.voters, view.former)
+            if not await self._campaign(plan):
+                replica.postpone(self.clock())
+                raise Refused("no backup")
+        if not replica.writes(self.clock()) or replica.record.version != version:
+            raise Refused("the lease is over")
+        self._commit()
+
+    def _conflict(self, version: int) -> None:
+        self.conflicts += 1
+        if version not in self.clashed:
+            self.clashed = {*sorted(self.clashed)[-CLASHED:], version}
+            logging.info("store: r%d was taken with another content: refused", version)
 
     async def _read(self, body: Body) -> Body:
         replica = self.replica
         if replica.lease_left(self.clock()) > 0.0:
             return {"version": replica.version, "data": replica.data}
-        return await self._hand_on("read", body, CALL)
+        return await self._hand_on("read", body, CALL + carry(len(replica.data)))
 
     async def _hand_on(self, op: str, body: Body, within: float) -> Body:
         hops, primary = int(body.get("hops", 0)), self._seat()[1]
@@ -427,6 +466,7 @@
             "cores": [[*a] for a in replica.cores(now)],
             "ready": replica.informed and self.lending.fresh(),
             "duty": self.lending.told(),
+            "conflicts": self.conflicts,
             "mark": self.mark,
         }
 
