Answers go to their own request only; what is given up is reset

Cause: an answer without an id was matched by its place where it was no success, so a surplus refusal of nobody's was taken for a proof that the next request had not run; a server's bare 408, 429 or 503 went to the client as a promise that nobody gave; a second copy of a refusal, which has the same id, could be taken for the answer to the second sending to that server; what was given up behind a cut stayed in the system's buffer and ran when the cut healed; a process that stood still past the deadline sent its request all the same. Change: no id, no answer; what clients take for a promise needs the server's own word; a second sending to a server goes by a connection of its own; giving up resets; nothing is sent past its deadline; a request that must not run twice has no further try, and no refusal, while one is out or may have run, whatever the module says. Simulated streams: a reset purges what met a cut.

--- a/loomstand/net/driver.py
+++ b/loomstand/net/driver.py
@@ -7,13 +7,16 @@
 import select
 import selectors
 import socket
+import struct
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 from loomstand.net.endings import Ending
 from loomstand.net.ring import Ring, Room
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 NO_ROOM = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 
 
@@ -155,6 +158,12 @@
             elif self.off is not None:
                 self.off()
 
+    def sever(self) -> None:
+        """Makes the coming end a reset: what the system still holds of the sending is thrown away, so that
+        it isn't delivered seconds later, where a cut heals."""
+        if self.transport is not None:
+            reset_on_close(self.transport)
+
     def finish(self) -> None:
         """Ends the sending after what is queued, and passes over what still comes."""
         if self.ending is None and not self.lingering:
@@ -181,6 +190,15 @@
             self.transport.resume_reading()
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Has the system forget what it holds to send when the transport closes, and reset the connection."""
+    if (asked := transport.get_extra_info("reset_on_close")) is not None:  # there is no socket beneath it
+        asked()
+    elif (sock := transport.get_extra_info("socket")) is not None:
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def family(address: tuple[str, int]) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -342,13 +342,16 @@
         return Dispatch(req, len(req.flights), srv, self.now(), expire, self.identifiers[srv])
 
     def try_limit(self, req: Req) -> int:
+        """None more for what must not run twice and may have run, or may yet: whatever the module thinks."""
+        if not req.route.idempotent and (req.ran or sum(f is not None for f in req.flights) > 1):
+            return 0
         return req.route.attempts
 
     def deny(self, act: i.Deny) -> None:
         req = self.reqs.get(act.req)
         if req is None or req.client is None:
             return
-        if req.ran:
+        if req.ran or any(req.flights):  # no promise while it may run yet
             self.over(req)
         elif act.why in QUOTA:
             wait = max(0.05, act.wait / 10_000)
--- a/loomstand/proxy/request.py
+++ b/loomstand/proxy/request.py
@@ -16,10 +16,11 @@
 
 class ProxyRequest(Req):
     """A request with its route. `got` is the last whole answer of a server; `ran` whether it may have run;
-    `afresh` whether it goes by new connections only."""
+    `afresh` whether it goes by new connections only; `met` the servers that it was sent to."""
 
     __slots__ = (
-        "afresh", "got", "hops", "key", "late", "ran", "request_id", "route", "service", "tenant", "wait"
+        "afresh", "got", "hops", "key", "late", "met", "ran", "request_id", "route", "service", "tenant",
+        "wait",
     )  # fmt: skip
 
     def __init__(self, machine: RequestReceiver) -> None:
@@ -43,6 +44,7 @@
         self.service = ""
         self.tenant: Tenant | None = None
         self.got: tuple[int, bytes, str] | None = None
+        self.met: tuple[int, ...] = ()
         self.ran = self.late = self.afresh = False
 
     @property
--- a/loomstand/proxy/upstream.py
+++ b/loomstand/proxy/upstream.py
@@ -17,6 +17,10 @@
 # is left then. The stated time is in whole seconds, so it may be rounded.
 MARGIN = 1.0
 BROKEN = {Ending.CLOSED, Ending.RESET}
+PROMISES = {408, 421, 429, 503}  # to clients: not run, and never will
+# Surplus answers that are passed over for one request. A server sends one or two by mistake; where more come
+# each costs a turn of the parser within one piece of bytes.
+MOST_SURPLUS = 8
 UNSTATED = 4.0  # seconds that a connection is kept where the server states nothing: those seen keep ten
 
 
@@ -27,26 +31,32 @@
 
     def __init__(self, pool: Pool, srv: int) -> None:
         super().__init__(pool, srv)
-        self.surplus, self.stays = False, UNSTATED
+        self.surplus, self.stays = 0, UNSTATED
+
+    def opened(self) -> None:
+        if self.flight is not None and self.flight.expire <= self.pool.limiter.now():
+            # this process stood still while it came up: nobody waits any more, and nothing was sent
+            self.wire.stop(Ending.EXPIRED)
+            return
+        super().opened()
 
     def took(self) -> None:
         flight, machine = self.flight, self.machine
         status, fields, body, close = machine.status, machine.fields, machine.body, machine.close
         id_, req = fields.get(b"loomstand-request-id"), flight.req
-        if id_ is not None and id_ != req.request_id:
-            self.surplus = True  # of an earlier request: the right one follows
+        if id_ is not None and id_ != req.request_id and self.surplus < MOST_SURPLUS:
+            self.surplus += 1  # of an earlier request: the right one follows
             machine.reset()
             if self.wire.inbound.used:
                 self.received()
             return
         not_run = b"loomstand-not-executed" in fields or status == 421
-        good = 200 <= status < 300
-        if good and (id_ is None or not_run or b"loomstand-response-stamp" not in fields):
-            self.wire.stop(Ending.MALFORMED)  # no server's own answer: it may have run
+        if id_ != req.request_id or not own(status, fields, not_run):
+            self.wire.stop(Ending.MALFORMED)  # no server's own answer to this request: it may have run
             return
         if (said := STAYS(fields.get(b"keep-alive", b""))) is not None:
             self.stays = max(0.0, int(said[1]) - MARGIN)
-        self.done(close or self.surplus)
+        self.done(close or self.surplus > 0)
         limiter = self.pool.limiter
         if not_run:
             if status == 421:
@@ -70,6 +80,14 @@
         super().ended(why)
 
 
+def own(status: int, fields: dict[bytes, bytes], not_run: bool) -> bool:
+    """Whether a server of the system can have said this. A success has its stamp, ran, and has no coding that
+    nobody asked for; what clients take for a promise says by another field that it is one."""
+    if 200 <= status < 300:
+        return not not_run and b"loomstand-response-stamp" in fields and b"content-encoding" not in fields
+    return not_run or status not in PROMISES
+
+
 class UpstreamPool(Pool):
     """Connections to all servers."""
 
@@ -80,13 +98,14 @@
         self.kept = StaleConnections()
 
     def send(self, flight: Flight) -> None:
-        """A request that was lost on a kept connection goes on by a new one, and one that must not run twice
-        uses none that may be forgotten."""
+        """A request that was lost on a kept connection goes on by a new one, as does one that was sent to
+        that server before; one that must not run twice uses none that may be forgotten."""
         req, now, trusted = flight.req, self.limiter.loop.time(), inf
-        if req.afresh:
+        if req.afresh or flight.srv in req.met:  # a second copy of its first answer has the same id
             trusted = 0.0
         elif not req.route.idempotent:
             trusted = self.kept.trusted(req.service, now)
+        req.met = (*req.met, flight.srv)
         older = [v for v in self.idle.get(flight.srv, ()) if now - v.idle_at >= trusted]
         if not older:
             super().send(flight)
@@ -95,6 +114,12 @@
         super().send(flight)
         self.idle[flight.srv] = older + self.idle.get(flight.srv, [])
 
+    def give_up(self, flight: Flight, why: Ending) -> None:
+        """What of it wasn't delivered never is: behind a cut the system would send it again for minutes."""
+        if flight.link is not None and flight.link.flight is flight:
+            flight.link.wire.sever()
+        super().give_up(flight, why)
+
     def forgotten(self, lane: UpstreamConnection) -> None:
         """What was sent on a kept connection broke it. Servers may forget idle connections without a word,
         and many at once: those that were idle longer aren't used again, and the request's other tries, which
--- a/loomstand/rpc/sockets.py
+++ b/loomstand/rpc/sockets.py
@@ -6,11 +6,11 @@
 import socket
 from collections import Counter as Tally
 from contextlib import suppress
-from typing import Any
 
 from absl import logging
 from expression import Error, Ok, Result
 
+from loomstand.net.driver import reset_on_close
 from loomstand.rpc.frames import Foreign, Reader, pack
 from loomstand.rpc.network import Address, Body, Serve
 from loomstand.shared.verdict import Refused, Verdict
@@ -22,6 +22,9 @@
 # Calls that in a row had no answer before the connection is replaced: behind a cut TCP sends again ever more
 # rarely, and goes on seconds after the cut has healed; a new connection comes up at once.
 PATIENCE = 2
+TOLD_EVERY = 100  # connections with foreign bytes for one line in the log, after the first
+
+Answer = tuple[bool, Body] | None  # whether it is one or a refusal, and what it says; None: there is none
 
 
 class Line(asyncio.Protocol):
@@ -30,7 +33,8 @@
     def __init__(self, owner: Sockets, serve: Serve | None) -> None:
         self.owner, self.serve = owner, serve
         self.reader, self.last, self.silent = Reader(), 0, 0
-        self.waiting: dict[int, asyncio.Future[tuple[bool, Any]]] = {}
+        # By number, each for one call on this connection: a late or doubled answer finds nobody.
+        self.waiting: dict[int, asyncio.Future[Answer]] = {}
         self.transport: asyncio.Transport | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -47,14 +51,16 @@
     def data_received(self, data: bytes) -> None:
         try:
             for number, what, body in self.reader.feed(data):
-                if self.serve is not None and isinstance(what, str) and isinstance(body, dict):
+                if not isinstance(body, dict) or not isinstance(what, bool if self.serve is None else str):
+                    raise Foreign("neither a call nor an answer")
+                if self.serve is not None:
                     task = asyncio.get_running_loop().create_task(self.answer(number, what, body))
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
-                elif (waits := self.waiting.pop(number, None)) is not None and not waits.done():
-                    waits.set_result((what is True, body))
-        except Foreign:
-            self.owner.counts["foreign"] += 1
+                else:
+                    give(self.waiting.pop(number, None), (what, body))
+        except Foreign as why:
+            self.owner.foreign(why)
             self.close()
 
     async def answer(self, number: int, op: str, body: Body) -> None:
@@ -73,14 +79,21 @@
         self.owner.gone(self)
         waiting, self.waiting = self.waiting, {}
         for waits in waiting.values():
-            if not waits.done():
-                waits.cancel()
+            give(waits, None)
 
     def close(self) -> None:
+        """Ends it by a reset: calls that wait in the system are not delivered later, when a cut heals."""
         if self.transport is not None:
+            reset_on_close(self.transport)
             self.transport.abort()
 
 
+def give(waits: asyncio.Future[Answer] | None, answer: Answer) -> None:
+    """Ends the wait of a call, if it still waits. Not by cancelling: that is how its caller is called off."""
+    if waits is not None and not waits.done():
+        waits.set_result(answer)
+
+
 class Sockets:
     """`Network` on TCP. `counts` tells of foreign bytes and failed calls."""
 
@@ -101,28 +114,26 @@
         line = self.lines.get(address)
         if line is None or line.transport is None or line.transport.is_closing():
             line = await self.connect(address, min(within, CONNECT_WITHIN))
-            if line is None:
+            if line is None or line.transport is None or line.transport.is_closing():
                 return Error(Verdict.NEVER_RAN)
         line.last += 1
         number, waits = line.last, loop.create_future()
         line.waiting[number] = waits
         line.transport.write(pack([number, op, body]))
-        late = loop.call_at(until, waits.cancel)
+        late = loop.call_at(until, give, waits, None)
         try:
-            good, said = await waits
-        except asyncio.CancelledError:
-            if not waits.cancelled():
-                raise  # this call itself was called off
+            answer = await waits
+        finally:
+            late.cancel()
             line.waiting.pop(number, None)
+        if answer is None:
             line.silent += 1
             if line.silent >= PATIENCE and self.lines.get(address) is line:
                 line.close()
                 del self.lines[address]
             return Error(Verdict.MAY_HAVE_RUN)
-        finally:
-            late.cancel()
-            line.waiting.pop(number, None)
         line.silent = 0
+        good, said = answer
         return Ok(said) if good else Error(Verdict.REFUSED)
 
     async def connect(self, address: Address, within: float) -> Line | None:
@@ -144,6 +155,13 @@
         self.lines[address] = line
         return line
 
+    def foreign(self, why: Foreign) -> None:
+        """Bytes came that are none of ours."""
+        if self.counts["foreign"] % TOLD_EVERY == 0:
+            logging.error("bytes that are none of ours end a connection, the %d. so far: %s",
+                          self.counts["foreign"] + 1, why)  # fmt: skip
+        self.counts["foreign"] += 1
+
     def gone(self, line: Line) -> None:
         self.incoming.discard(line)
         for address, held in list(self.lines.items()):
--- /dev/null
+++ b/loomstand/simulation/stream_network.py
@@ -0,0 +1,39 @@
+"""Calls between the system's processes on simulated streams: the code of `rpc.sockets`, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from loomstand.rpc.network import Address, Serve
+from loomstand.rpc.sockets import CONNECT_WITHIN, Line, Sockets
+from loomstand.simulation.streams import Streams
+
+
+class StreamLine(Line):
+    """A connection that tells the stream that dialled it when it stands."""
+
+    stands: Callable[[], None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        if self.stands is not None:
+            self.stands()
+
+
+class StreamSockets(Sockets):
+    """`Sockets` of one life on one host."""
+
+    def __init__(self, streams: Streams) -> None:
+        super().__init__()
+        self.streams = streams
+
+    async def listen(self, address: Address, serve: Serve) -> None:
+        loop = asyncio.get_running_loop()
+        await self.streams.listen(loop, lambda: StreamLine(self, serve), address)
+
+    async def open(self, address: Address) -> Line:
+        self.lines[address] = line = await self.streams.open(
+            lambda: StreamLine(self, None), address, CONNECT_WITHIN
+        )
+        return line
--- a/loomstand/simulation/streams.py
+++ b/loomstand/simulation/streams.py
@@ -96,6 +96,7 @@
         self.came: deque[bytes] = deque()  # read by the kernel, not by the process
         self.over: Kind | None = None
         self.reading, self.woken, self.told = True, False, False
+        self.resets = False  # its close is a reset, as with SO_LINGER 0
         self.closing = self.closed = self.lost = False  # by the process; `lost` once it was told
         self.gone = False  # the kernel knows the connection no more
         cables.ends.add(self)
@@ -103,10 +104,15 @@
     # the process's side
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        if name == "reset_on_close":
+            return self.abortive
         if name == "unread":
             return lambda: bool(self.came) or self.over is not None
         return (self.far, 0) if name == "peername" else default
 
+    def abortive(self) -> None:
+        self.resets = True
+
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
 
@@ -197,7 +203,7 @@
     def finish(self, why: Exception | None) -> None:
         self.closed = True
         if not self.gone:
-            if self.came:
+            if self.came or self.resets:
                 self.reset()
             elif not self.ended:
                 self.ended = True
@@ -269,8 +275,8 @@
         """Brings over what is due, or tries again later."""
         self.timer, now, sky = None, self.loop.time(), self.cables.sky
         if not sky.open(self.host, self.far):
-            self.way = deque(p for p in self.way if p[1] is not Kind.RESET)
-            if self.host in sky.off:
+            # a reset is sent once, and nothing of that connection again
+            if self.host in sky.off or any(kind is Kind.RESET for _, kind, _ in self.way):
                 self.way.clear()
             self.arm(now + self.pause * (0.8 + 0.4 * self.cables.rng.random()))
             self.pause = min(AGAIN[2], 2 * self.pause)
@@ -332,8 +338,13 @@
         self.settle()
 
     def reset(self) -> None:
-        """The kernel breaks it off; what is on the way comes before that, if it comes now."""
+        """The kernel breaks it off, once; what is on the way comes before that, what met a cut never."""
         if not self.gone:
+            now = self.loop.time()
+            self.way = deque(p for p in self.way if p[0] > now)
+            if self.timer is not None:
+                self.timer.cancel()
+                self.timer = None
             if self.peer is not None:
                 self.put(Kind.RESET)
             self.gone = True
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,369 @@
+"""Answers and their callers on simulated streams: each to its own request, and none run twice that must not."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter as Tally
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from loomstand.interface import Outcome
+from loomstand.net import http
+from loomstand.net.clients import Client as FrontClient
+from loomstand.net.endings import Ending
+from loomstand.net.ring import Ring, Room
+from loomstand.net.servers import Pool
+from loomstand.proxy import upstream
+from loomstand.proxy.program import Proxy
+from loomstand.proxy.request import Dispatch, ProxyRequest
+from loomstand.proxy.upstream import UpstreamConnection, UpstreamPool
+from loomstand.simulation.cluster import FRONT, Cluster
+from loomstand.simulation.http_log import Broken, Message, Talk
+from loomstand.simulation.loop import Life, play
+from loomstand.simulation.network import SimNetwork
+from loomstand.simulation.streams import WINDOW, Cables, End, Streams
+from loomstand.simulation.workload import Server
+
+US, THEM = "10.2.0.1", "10.3.0.1"
+PROOFS = {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT}
+STAMP = "Loomstand-Response-Stamp: s"
+
+
+def said(status: int, id_: str = "", *lines: str, body: bytes = b"body") -> bytes:
+    """An answer's bytes."""
+    fields = [f"Loomstand-Request-Id: {id_}"] if id_ else []
+    head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *fields, *lines]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+class Played(Talk):
+    """A server's connection that runs each whole request and answers as its play says: bytes, seconds to wait,
+    or "reset", "close", "half" (its sending ends); it runs nothing where that begins with "refuse". `early`
+    answers once a head is there."""
+
+    def __init__(self, stage: Stage) -> None:
+        super().__init__()
+        self.stage = stage
+        self.task = asyncio.get_running_loop().create_task(self.serve(), context=stage.life.context())
+
+    async def serve(self) -> None:
+        try:
+            while True:
+                while b"\r\n\r\n" not in self.buf:
+                    await self.more()
+                if self.stage.early:
+                    await self.act(self.stage.plays.pop(0))
+                    self.stage.early = False
+                    continue
+                message = await self.message()
+                play = self.stage.plays.pop(0) if self.stage.plays else []
+                if play[:1] == ["refuse"]:
+                    del play[0]
+                else:
+                    self.stage.ran.append(message.fields["loomstand-request-id"])
+                    self.stage.ran_at[self.stage.ran[-1]] = self.stage.loop.time()
+                await self.act(play)
+        except Broken:
+            pass
+
+    async def act(self, play: list[Any]) -> None:
+        for step in play:
+            if isinstance(step, bytes):
+                if not self.transport.is_closing():
+                    self.transport.write(step)
+            elif isinstance(step, float):
+                await asyncio.sleep(step)
+            elif step == "reset":
+                self.transport.reset()
+                self.transport.fail(ConnectionResetError())
+            elif step == "half":
+                self.transport.write_eof()
+            else:
+                self.transport.close()
+
+
+class Stage:
+    """A pool of connections to one server, and in place of the proxy a book of what came of each request."""
+
+    def __init__(self) -> None:
+        self.sky = SimNetwork(Random(1))
+        self.cables = Cables(self.sky, Random(2))
+        self.loop = asyncio.get_running_loop()
+        self.room, self.endings, self.most_answer = Room(1 << 22), Tally[str](), 1 << 16
+        self.life, self.mine = Life(), Life()
+        self.plays: list[list[Any]] = []
+        self.early = False
+        self.ran: list[str] = []
+        self.ran_at: dict[str, float] = {}
+        self.came_of: dict[str, list[Outcome]] = {}
+        self.bodies: dict[str, tuple[int, bytes, str]] = {}
+        self.talks: list[Played] = []
+        self.pool = UpstreamPool(self, 0.25, 60.0)  # type: ignore[arg-type]
+        self.pool.connect = Streams(self.cables, US, self.mine).connect  # type: ignore[method-assign]
+        self.pool.told(0, (THEM, 80))
+
+    async def open(self) -> Stage:
+        def make() -> Played:
+            self.talks.append(Played(self))
+            return self.talks[-1]
+
+        await Streams(self.cables, THEM, self.life).listen(self.loop, make, (THEM, 80))
+        return self
+
+    def now(self) -> int:
+        return int(self.loop.time() * 10_000)
+
+    def spare_sockets(self) -> int:
+        return 9
+
+    def make_room(self, spared: Any = None) -> bool:
+        return False
+
+    def misdirected(self, flight: Any) -> None:
+        pass
+
+    def came(self, flight: Any, outcome: Outcome, metered: int = 0, body: bytes = b"") -> None:
+        if flight.timer is not None:
+            flight.timer.cancel()
+        id_ = flight.req.request_id.decode()
+        self.came_of.setdefault(id_, []).append(outcome)
+        if flight.req.got is not None:
+            self.bodies[id_] = flight.req.got
+
+    def request(self, id_: str, body: bytes = b"", idempotent: bool = False) -> ProxyRequest:
+        machine, ring = http.RequestReceiver(1 << 20), Ring(self.room, 1 << 21)
+        head = f"POST /x HTTP/1.1\r\nHost: h\r\nLoomstand-Request-Id: {id_}\r\nContent-Length: {len(body)}\r\n"
+        ring.put(head.encode() + b"\r\n" + body)
+        assert machine.step(ring)
+        req = ProxyRequest(machine)
+        req.route, req.service = SimpleNamespace(idempotent=idempotent), "s"
+        return req
+
+    def send(self, req: ProxyRequest, within: float = 1.0) -> Dispatch:
+        expire = self.now() + int(within * 10_000)
+        flight = Dispatch(req, len(req.flights), 0, self.now(), expire, "i-1")
+        req.flights.append(flight)
+        flight.timer = self.loop.call_later(within, self.pool.give_up, flight, Ending.EXPIRED)
+        self.pool.send(flight)
+        return flight
+
+    def check(self) -> None:
+        """No proof for what ran, one end for each sending, and only an own whole answer has passed."""
+        for id_, outcomes in self.came_of.items():
+            proved = sum(o in PROOFS for o in outcomes)
+            assert self.ran.count(id_) <= len(outcomes) - proved, (id_, outcomes)
+            if Outcome.PASSED in outcomes:
+                status, body, extra = self.bodies[id_]
+                assert body == b"of " + id_.encode() and f"loomstand-request-id: {id_}\r\n" in extra
+
+
+def staged(work: Callable[[Stage], Any]) -> None:
+    async def run() -> None:
+        stage = await Stage().open()
+        await work(stage)
+        stage.sky.mend()
+        await asyncio.sleep(20.0)  # what is late comes now
+        stage.check()
+
+    play(run)
+
+
+def whole(id_: str, *lines: str) -> bytes:
+    return said(200, id_, STAMP, *lines, body=b"of " + id_.encode())
+
+
+# --- from servers, at each byte
+
+
+def every_byte() -> None:
+    for how in ("close", "reset", "half", "silence", "pause"):
+
+        async def work(stage: Stage) -> None:
+            for at in range(len(whole("r000"))):  # noqa: B023
+                id_ = f"r{at:03}"
+                raw = whole(id_)
+                steps = {"silence": [2.0, raw[at:]], "pause": [0.02, raw[at:]]}.get(how, [how])  # noqa: B023
+                stage.plays = [[raw[:at], *steps]]
+                stage.send(stage.request(id_), 0.2)
+                await asyncio.sleep(0.25)
+                passes = Outcome.PASSED if how == "pause" else None  # noqa: B023
+                lost = Outcome.NO_ANSWER if how == "silence" else Outcome.CONNECTION_LOST  # noqa: B023
+                assert stage.came_of[id_] == [passes or lost], (how, at)  # noqa: B023
+                stage.plays = []
+
+        staged(work)
+
+
+def test_an_answer_cut_at_any_byte_passes_only_whole_and_proves_nothing():
+    every_byte()
+
+
+def surplus(made: Callable[[str], bytes], *, ahead: bool) -> Callable[[Stage], Any]:
+    """One request's second answer, cut at each byte: the rest of it comes where the next one's is due."""
+
+    async def work(stage: Stage) -> None:
+        size = len(made("r0000"))
+        for at in range(0, size + 1):
+            first, second = f"r{at:04}", f"n{at:04}"
+            extra, own = made(first), whole(second)
+            stage.plays = [[whole(first), extra[:at]], [extra[at:] + own] if ahead else [extra[at:], 0.01, own]]
+            stage.send(stage.request(first))
+            await asyncio.sleep(0.008 if at % 2 else 0.02)
+            stage.send(stage.request(second))
+            await asyncio.sleep(0.1)
+            assert stage.came_of[first] == [Outcome.PASSED]
+            assert set(stage.came_of[second]) <= {Outcome.PASSED, Outcome.CONNECTION_LOST}
+            for links in list(stage.pool.idle.values()):
+                for link in list(links):
+                    stage.pool.shut(link, Ending.IDLE)
+
+    return work
+
+
+SURPLUS: dict[str, Callable[[str], bytes]] = {
+    "again": lambda id_: whole(id_),
+    "refusal": lambda id_: said(503, id_, "Loomstand-Not-Executed: true"),
+    "nobody's refusal": lambda id_: said(503, "", "Loomstand-Not-Executed: true"),
+    "nobody's error": lambda id_: said(500, ""),
+    "interim": lambda id_: b"HTTP/1.1 100 Continue\r\n\r\n" + whole(id_),
+}
+
+
+@pytest.mark.parametrize("ahead", [True, False])
+@pytest.mark.parametrize("what", SURPLUS)
+def test_a_surplus_answer_in_pieces_is_never_the_next_ones(what, ahead):
+    staged(surplus(SURPLUS[what], ahead=ahead))
+
+
+REFUSED = "Loomstand-Not-Executed: true"
+
+
+async def refused_twice(stage: Stage) -> None:
+    size = len(said(503, "r0000", REFUSED))
+    for at in range(0, size + 1, 3):
+        id_, req = f"r{at:04}", stage.request(f"r{at:04}")
+        raw = said(503, id_, REFUSED)
+        stage.plays = [["refuse", raw, raw[:at], 0.02, raw[at:]], [0.05, whole(id_)]]
+        stage.send(req)
+        await asyncio.sleep(0.012)
+        stage.send(req)  # as where no other server has room
+        await asyncio.sleep(0.2)
+        assert stage.came_of[id_] == [Outcome.TURNED_AWAY, Outcome.PASSED]
+
+
+def test_a_second_copy_of_a_refusal_is_not_the_answer_to_the_second_sending():
+    staged(refused_twice)
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503, 200])
+def test_what_clients_take_for_a_promise_comes_from_a_server_only_with_its_own_word(status):
+    async def work(stage: Stage) -> None:
+        for id_, lines in ("bare", []), ("with", [REFUSED]):
+            proof = status != 200 if lines else status == 421
+            success = [STAMP] if status == 200 else []
+            stage.plays = [["refuse"] * proof + [said(status, id_, *success, *lines, body=b"of bare")]]
+            stage.send(stage.request(id_))
+            await asyncio.sleep(0.1)
+            expected = Outcome.TURNED_AWAY if proof else Outcome.CONNECTION_LOST
+            assert stage.came_of[id_] == [Outcome.PASSED if success and not lines else expected]
+
+    staged(work)
+
+
+# --- to servers
+
+
+async def behind_a_cut(stage: Stage) -> None:
+    """Bodies below and above the window, cut off at several moments, given up, and the cut healed."""
+    for n, size in enumerate((0, 100, WINDOW - 400, WINDOW, 3 * WINDOW, 6 * WINDOW)):
+        for after in (0.0, 0.001, 0.004, 0.006, 0.009, 0.013, 0.02):
+            id_ = f"r{n}{after}"
+            stage.plays = [[1.0, whole(id_)]]
+            stage.send(stage.request(id_, bytes(size)), 0.3)
+            await asyncio.sleep(after)
+            stage.sky.cut(US, THEM)
+            await asyncio.sleep(0.4)
+            given_up = stage.loop.time()
+            stage.sky.mend()
+            await asyncio.sleep(6.0)
+            assert stage.ran_at.get(id_, 0.0) < given_up, f"{id_} ran late, of {stage.came_of[id_]}"
+
+
+def test_what_is_given_up_behind_a_cut_is_not_delivered_when_that_heals():
+    staged(behind_a_cut)
+
+
+def test_a_connect_under_way_at_the_deadline_carries_nothing_later():
+    async def work(stage: Stage) -> None:
+        for n in range(20):
+            stage.send(stage.request(f"r{n}"), 0.0005 * n)
+            await asyncio.sleep(0.1)
+            assert len(stage.came_of[f"r{n}"]) == 1
+
+    staged(work)
+
+
+async def thaws_late(stage: Stage) -> None:
+    flight = stage.send(stage.request("r"))
+    flight.timer.cancel()
+    flight.expire = stage.now()  # this process stood still until after that
+    await asyncio.sleep(0.5)
+    assert stage.came_of == {"r": [Outcome.NO_CONNECTION]} and stage.ran == []
+
+
+def test_a_process_that_stood_still_past_the_deadline_sends_nothing():
+    staged(thaws_late)
+
+
+async def a_silence(stage: Stage) -> None:
+    stage.plays = [[0.05, whole("a")], [0.05, whole("b")], [], [whole("d")]]
+    for id_ in "ab":  # two kept connections
+        stage.send(stage.request(id_))
+    await asyncio.sleep(0.2)
+    assert len(stage.talks) == 2
+    stage.life.frozen = True
+    stage.send(stage.request("c"), 0.2)
+    await asyncio.sleep(0.3)
+    assert stage.came_of["c"] == [Outcome.NO_ANSWER]
+    stage.life.thaw()  # and it runs what is in its buffers
+    await asyncio.sleep(0.1)
+    assert stage.ran == ["a", "b", "c"]
+    stage.send(stage.request("d"))
+    await asyncio.sleep(0.1)
+    assert stage.came_of["d"] == [Outcome.PASSED] and len(stage.talks) == 3, "a connection of before a silence"
+
+
+def test_after_a_silence_no_connection_of_before_is_used_and_a_late_run_breaks_no_word():
+    staged(a_silence)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_an_answer_that_comes_before_its_request_is_written_ends_that_connection(status):
+    async def work(stage: Stage) -> None:
+        stage.early, raw = True, whole("r") if status == 200 else said(503, "r", REFUSED)
+        stage.plays = [[raw], [whole("n")]]
+        stage.send(stage.request("r", bytes(5 * WINDOW)))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["r"] == [Outcome.PASSED if status == 200 else Outcome.TURNED_AWAY]
+        assert "r" not in stage.ran and not stage.pool.links
+        stage.send(stage.request("n"))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["n"] == [Outcome.PASSED] and len(stage.talks) == 2
+
+    staged(work)
+
+
+def test_surplus_answers_without_end_do_not_keep_a_request():
+    async def work(stage: Stage) -> None:
+        stage.plays = [[whole("x") * 40 + whole("r")]]
+        stage.send(stage.request("r"))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["r"] == [Outcome.CONNECTION_LOST]
+
+    staged(work)
