--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,4 +1,4 @@
-"""Answers and their callers on simulated streams: each to its own request, and none run twice that must not."""
+"""Answers and their callers on simulated streams: each to its own, and none run twice that must not."""
 
 from __future__ import annotations
 
@@ -10,24 +10,25 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, example, given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from loomstand import interface as i
 from loomstand.interface import Outcome
-from loomstand.net import http
-from loomstand.net.clients import Client as FrontClient
+from loomstand.net import http, servers
+from loomstand.net.driver import Wire
 from loomstand.net.endings import Ending
 from loomstand.net.ring import Ring, Room
-from loomstand.net.servers import Pool
+from loomstand.net.servers import Link
 from loomstand.proxy import upstream
 from loomstand.proxy.program import Proxy
 from loomstand.proxy.request import Dispatch, ProxyRequest
 from loomstand.proxy.upstream import UpstreamConnection, UpstreamPool
 from loomstand.simulation.cluster import FRONT, Cluster
-from loomstand.simulation.http_log import Broken, Message, Talk
+from loomstand.simulation.http_log import Broken, Message, Reply, Run, Talk
 from loomstand.simulation.loop import Life, play
 from loomstand.simulation.network import SimNetwork
-from loomstand.simulation.streams import WINDOW, Cables, End, Streams
+from loomstand.simulation.streams import WINDOW, Cables, Streams
 from loomstand.simulation.workload import Server
 
 US, THEM = "10.2.0.1", "10.3.0.1"
@@ -43,7 +44,7 @@
 
 
 class Played(Talk):
-    """A server's connection that runs each whole request and answers as its play says: bytes, seconds to wait,
+    """A server's connection: runs each whole request and answers as its play says: bytes, seconds to wait,
     or "reset", "close", "half" (its sending ends); it runs nothing where that begins with "refuse". `early`
     answers once a head is there."""
 
@@ -138,7 +139,9 @@
 
     def request(self, id_: str, body: bytes = b"", idempotent: bool = False) -> ProxyRequest:
         machine, ring = http.RequestReceiver(1 << 20), Ring(self.room, 1 << 21)
-        head = f"POST /x HTTP/1.1\r\nHost: h\r\nLoomstand-Request-Id: {id_}\r\nContent-Length: {len(body)}\r\n"
+        head = (
+            f"POST /x HTTP/1.1\r\nHost: h\r\nLoomstand-Request-Id: {id_}\r\nContent-Length: {len(body)}\r\n"
+        )
         ring.put(head.encode() + b"\r\n" + body)
         assert machine.step(ring)
         req = ProxyRequest(machine)
@@ -159,7 +162,7 @@
             proved = sum(o in PROOFS for o in outcomes)
             assert self.ran.count(id_) <= len(outcomes) - proved, (id_, outcomes)
             if Outcome.PASSED in outcomes:
-                status, body, extra = self.bodies[id_]
+                _, body, extra = self.bodies[id_]
                 assert body == b"of " + id_.encode() and f"loomstand-request-id: {id_}\r\n" in extra
 
 
@@ -185,7 +188,7 @@
     for how in ("close", "reset", "half", "silence", "pause"):
 
         async def work(stage: Stage) -> None:
-            for at in range(len(whole("r000"))):  # noqa: B023
+            for at in range(len(whole("r000"))):
                 id_ = f"r{at:03}"
                 raw = whole(id_)
                 steps = {"silence": [2.0, raw[at:]], "pause": [0.02, raw[at:]]}.get(how, [how])  # noqa: B023
@@ -212,7 +215,10 @@
         for at in range(0, size + 1):
             first, second = f"r{at:04}", f"n{at:04}"
             extra, own = made(first), whole(second)
-            stage.plays = [[whole(first), extra[:at]], [extra[at:] + own] if ahead else [extra[at:], 0.01, own]]
+            stage.plays = [
+                [whole(first), extra[:at]],
+                [extra[at:] + own] if ahead else [extra[at:], 0.01, own],
+            ]
             stage.send(stage.request(first))
             await asyncio.sleep(0.008 if at % 2 else 0.02)
             stage.send(stage.request(second))
@@ -261,8 +267,7 @@
     staged(refused_twice)
 
 
-@pytest.mark.parametrize("status", [408, 421, 429, 503, 200])
-def test_what_clients_take_for_a_promise_comes_from_a_server_only_with_its_own_word(status):
+def bare_promises(status: int) -> Callable[[Stage], Any]:
     async def work(stage: Stage) -> None:
         for id_, lines in ("bare", []), ("with", [REFUSED]):
             proof = status != 200 if lines else status == 421
@@ -273,7 +278,12 @@
             expected = Outcome.TURNED_AWAY if proof else Outcome.CONNECTION_LOST
             assert stage.came_of[id_] == [Outcome.PASSED if success and not lines else expected]
 
-    staged(work)
+    return work
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503, 200])
+def test_what_clients_take_for_a_promise_comes_from_a_server_only_with_its_own_word(status):
+    staged(bare_promises(status))
 
 
 # --- to servers
@@ -336,15 +346,16 @@
     assert stage.ran == ["a", "b", "c"]
     stage.send(stage.request("d"))
     await asyncio.sleep(0.1)
-    assert stage.came_of["d"] == [Outcome.PASSED] and len(stage.talks) == 3, "a connection of before a silence"
+    assert stage.came_of["d"] == [Outcome.PASSED] and len(stage.talks) == 3, (
+        "a connection of before a silence"
+    )
 
 
 def test_after_a_silence_no_connection_of_before_is_used_and_a_late_run_breaks_no_word():
     staged(a_silence)
 
 
-@pytest.mark.parametrize("status", [200, 503])
-def test_an_answer_that_comes_before_its_request_is_written_ends_that_connection(status):
+def answered_early(status: int) -> Callable[[Stage], Any]:
     async def work(stage: Stage) -> None:
         stage.early, raw = True, whole("r") if status == 200 else said(503, "r", REFUSED)
         stage.plays = [[raw], [whole("n")]]
@@ -356,7 +367,12 @@
         await asyncio.sleep(0.2)
         assert stage.came_of["n"] == [Outcome.PASSED] and len(stage.talks) == 2
 
-    staged(work)
+    return work
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_an_answer_that_comes_before_its_request_is_written_ends_that_connection(status):
+    staged(answered_early(status))
 
 
 def test_surplus_answers_without_end_do_not_keep_a_request():
@@ -367,3 +383,295 @@
         assert stage.came_of["r"] == [Outcome.CONNECTION_LOST]
 
     staged(work)
+
+
+# --- the whole proxy, drawn
+
+
+class Tricky(Server):
+    """A server whose requests meet what `script` says, one after the other: what befalls one, and at which
+    byte of its answer."""
+
+    script: list[tuple[str, int]]
+
+    async def one(self, talk: Any, message: Message) -> None:
+        talk.play = what, at = self.script.pop(0) if self.script else ("", 0)
+        id_ = message.fields["loomstand-request-id"]
+        if what in ("unread", "refuses twice"):
+            self.book.arrived(Run(self.now(), self.service, self.id, id_, "", False), message)
+        if what == "unread":
+            self.broken(talk)
+        elif what == "refuses twice":
+            raw = self.said(503, id_, b"full", turned=True)
+            talk.transport.write(raw + raw[:at])
+            await asyncio.sleep(0.01)
+            talk.transport.write(raw[at:])
+        else:
+            await super().one(talk, message)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def broken(self, talk: Any) -> None:
+        talk.transport.reset()
+        talk.transport.fail(ConnectionResetError())
+
+    async def answer(self, talk: Any, id_: str, trouble: str, late: bytes) -> None:
+        (what, at), body = talk.play, b"%s of %s" % (id_.encode(), self.id.encode())
+        raw = self.said(504 if late else 200, id_, body)
+        extra = {
+            "again": raw,
+            "nobody": self.said(503, "", b"", turned=True),
+            "bare": self.said(429, "", b""),
+        }
+        if what in extra:
+            raw += extra[what][:at]
+        elif what == "instead":
+            raw = extra["nobody"]
+        elif what in ("reset", "half", "close", "pause", "long pause"):
+            talk.transport.write(raw[:at])
+        if what == "reset":
+            self.broken(talk)
+        elif what == "half":
+            talk.transport.write_eof()
+        elif what == "close":
+            talk.transport.close()
+        elif what in ("pause", "long pause"):
+            await asyncio.sleep(0.02 if what == "pause" else 3.0)
+            if not talk.over:
+                talk.transport.write(raw[at:])
+        elif what != "silent" and not talk.over:
+            talk.transport.write(raw)
+            if what in extra:
+                await asyncio.sleep(0.004)
+                talk.transport.write(extra[what][at:])
+
+
+class Odd(Cluster):
+    """One proxy, two tricky servers a service."""
+
+    def __init__(self, script: list[tuple[str, int]] | None = None) -> None:
+        self.script = script or []
+        super().__init__(3, cores=1, proxies=1, servers=2)
+        self.do(self.begin())
+        self.front, self.whole = (US, FRONT), set[str]()
+
+    def server(self, ip: str, service: str, zone: str) -> Server:
+        made = super().server(ip, service, zone)
+        made.__class__, made.script = Tricky, self.script  # type: ignore[attr-defined]
+        return made
+
+    async def asks(self, idempotent: bool, how: str, at: int, size: int) -> None:
+        """One client's request, sent in some way; its answers are checked against their ids."""
+        many = 2 if how == "pipelined" else 1
+        asks = [
+            self.client.ask(
+                "PUT", "town.example", f"/{'a' if idempotent else 'once'}/x", "key-of-ann", bytes(size),
+                idempotent,
+            )
+            for _ in range(many)
+        ]  # fmt: skip
+        raw = b"".join(self.client.raw(ask, 2.0) for ask in asks)
+        at = len(raw) * at // 400
+        try:
+            async with asyncio.timeout(3.0):
+                talk = await self.streams("10.9.0.1").open(Talk, self.front, 1.0)
+                talk.transport.write(raw if how in ("whole", "pipelined", "half", "leaves") else raw[:at])
+                if how == "pieces":
+                    await asyncio.sleep(0.03)
+                    talk.transport.write(raw[at:])
+                elif how == "half" and talk.transport.get_write_buffer_size() == 0:
+                    talk.transport.write_eof()
+                elif how in ("breaks", "leaves"):
+                    await asyncio.sleep(0.0 if how == "breaks" else at / 20_000)
+                    talk.transport.abort()
+                    if how == "leaves" or at == len(raw):
+                        self.whole.update(ask.id for ask in asks)
+                    return
+                self.whole.update(ask.id for ask in asks)
+                for ask in asks:
+                    got = await talk.message()
+                    self.book.got(ask, Reply(got.status, "", got.fields, got.body, self.loop.time()))
+        except (Broken, OSError, TimeoutError):
+            pass
+
+    async def happens(self, after: float, what: str, lasts: float) -> None:
+        await asyncio.sleep(after)
+        host, servers = self.proxies[US], [s for many in self.servers.values() for s in many]
+        server, there = servers[int(after * 1000) % 2], [s.address[0] for s in servers]
+        if what in ("cut", "deaf", "dumb"):
+            pairs = {(ip, US) for ip in there} if what != "deaf" else set()
+            self.sky.cuts |= pairs | ({(US, ip) for ip in there} if what != "dumb" else set())
+        elif what == "away":
+            self.sky.cut("10.9.0.1", US)
+        elif what == "freeze":
+            host.freeze()
+        elif what == "server freezes" and server.life is not None:
+            server.life.frozen = True
+        elif what == "server dies":
+            server.kill()
+        elif what == "term":
+            await host.end()
+        await asyncio.sleep(lasts)
+        self.sky.mend()
+        host.thaw()
+        if server.life is not None and server.life.alive:
+            server.life.thaw()
+        elif server.life is not None:
+            server.start()
+        if not host.up:
+            host.start()
+
+
+BEFALLS = [
+    "", "", "unread", "refuses twice", "again", "nobody", "bare", "instead", "reset", "half", "close",
+    "pause", "long pause", "silent",
+]  # fmt: skip
+HOW = ["whole", "whole", "pieces", "pipelined", "half", "breaks", "leaves"]
+HAPPENS = ["cut", "deaf", "dumb", "away", "freeze", "server freezes", "server dies", "term"]
+SCRIPT = st.lists(st.tuples(st.sampled_from(BEFALLS), st.integers(0, 250)), max_size=12)
+REQUESTS = st.lists(
+    st.tuples(
+        st.sampled_from((0.0, 0.0, 0.005, 0.02, 0.3)), st.booleans(), st.sampled_from(HOW),
+        st.integers(0, 400), st.sampled_from((0, 100, 100, 15_900, 50_000)),
+    ),
+    min_size=1, max_size=10,
+)  # fmt: skip
+EVENTS = st.lists(
+    st.tuples(st.floats(0.0, 0.5), st.sampled_from(HAPPENS), st.sampled_from((0.05, 0.5, 3.0))), max_size=3
+)
+
+
+def played(script: list[Any], requests: list[Any], events: list[Any]) -> Odd:
+    town = Odd(list(script))
+
+    async def work() -> None:
+        tasks = [town.loop.create_task(town.happens(*event)) for event in events]
+        for gap, *request in requests:
+            await asyncio.sleep(gap)
+            tasks.append(town.loop.create_task(town.asks(*request)))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(12.0)  # what is late comes now
+
+    try:
+        town.do(work())
+        early = {run.id for run in town.book.runs()} - town.whole
+        assert not early, f"ran before they were sent whole: {early}"
+    finally:
+        town.close()
+    return town
+
+
+@settings(max_examples=120, deadline=None, derandomize=True, database=None,
+          suppress_health_check=[HealthCheck.too_slow])  # fmt: skip
+@given(SCRIPT, REQUESTS, EVENTS)
+def test_drawn_troubles_on_both_sides_mix_no_answers_and_run_nothing_twice(script, requests, events):
+    played(script, requests, events)
+
+
+# --- the fences around the module's decisions
+
+
+async def held_up(town: Odd) -> tuple[Any, Any, asyncio.Task[Any]]:
+    """A request not to be repeated that is out at a server; the proxy, its request there, its end."""
+    ask = town.client.ask("PUT", "town.example", "/once/x", "key-of-ann", b"body")
+    task = town.loop.create_task(town.client.once(ask, town.front))
+    await asyncio.sleep(0.05)
+    proxy = town.proxy(US)
+    (req,) = [r for r in proxy.reqs.values() if r.request_id == ask.id.encode()]
+    assert any(req.flights)
+    return proxy, req, task
+
+
+def fenced(act: str) -> None:
+    town = Odd([("pause", 50)] if act == "deny" else [("long pause", 0)])
+
+    async def work() -> None:
+        proxy, req, task = await held_up(town)
+        if act == "deny":
+            proxy.deny(i.Deny(req.id, "given up", 0))
+        else:
+            for srv in proxy.identifiers:
+                proxy.dispatch(i.Dispatch(req.id, srv, req.give_up))
+        reply = await task
+        assert reply.status not in (408, 421, 429, 503)
+        assert len(town.book.runs()) <= 1
+
+    try:
+        town.do(work())
+    finally:
+        town.close()
+
+
+@pytest.mark.parametrize("act", ["deny", "dispatch"])
+def test_whatever_the_module_says_no_promise_and_no_second_sending_while_one_is_out(act):
+    fenced(act)
+
+
+# --- each defence taken out is noticed
+
+
+def by_position(link: Any, took: Any = UpstreamConnection.took) -> None:
+    link.machine.fields = link.machine.fields | {b"loomstand-request-id": link.flight.req.request_id}
+    took(link)
+
+
+def without_id_by_position(link: Any, took: Any = UpstreamConnection.took) -> None:
+    took(link) if b"loomstand-request-id" in link.machine.fields else by_position(link, took)
+
+
+def used_after_a_silence(pool: Any, flight: Any, why: Ending) -> None:
+    if flight.link is not None and flight.link.flight is flight:
+        flight.link.wire.stop(why)  # and the others stay
+
+
+def same_connection(pool: Any, flight: Any, send: Any = UpstreamPool.send) -> None:
+    flight.req.met = ()
+    send(pool, flight)
+
+
+def kept_early(link: Any, close: bool) -> None:
+    link.flight = None
+    link.machine.reset()
+    link.pool.keep(link)
+
+
+def reset_proves(ending: Ending, written: bool) -> Outcome:
+    return Outcome.NO_CONNECTION if ending in (Ending.RESET, Ending.CLOSED) else Outcome.NO_ANSWER
+
+
+def refused_anyhow(proxy: Any, act: Any) -> None:
+    proxy.answer(proxy.reqs[act.req], 503)
+
+
+AHEAD = surplus(SURPLUS["again"], ahead=True)
+NOBODYS = surplus(SURPLUS["nobody's refusal"], ahead=True)
+MUTANTS: dict[str, tuple[Any, str, Any, Callable[[], None]]] = {
+    "match by position": (UpstreamConnection, "took", by_position, lambda: staged(AHEAD)),
+    "match by position where there is no id": (
+        UpstreamConnection, "took", without_id_by_position, lambda: staged(NOBODYS),
+    ),
+    "reuse after a silence": (UpstreamPool, "give_up", used_after_a_silence, lambda: staged(a_silence)),
+    "close without a reset": (Wire, "sever", lambda wire: None, lambda: staged(behind_a_cut)),
+    "second sending on the same connection": (
+        UpstreamPool, "send", same_connection, lambda: staged(refused_twice),
+    ),
+    "a bare 503 is a promise": (upstream, "own", lambda *_: True, lambda: staged(bare_promises(503))),
+    "an early answer's connection is kept": (
+        UpstreamConnection, "done", kept_early, lambda: staged(answered_early(503)),
+    ),
+    "a reset is a proof": (servers, "outcome", reset_proves, every_byte),
+    "sent past its deadline": (UpstreamConnection, "opened", Link.opened, lambda: staged(thaws_late)),
+    "a refusal while it is out": (Proxy, "deny", refused_anyhow, lambda: fenced("deny")),
+    "a second sending while one is out": (
+        Proxy, "try_limit", lambda proxy, req: 9, lambda: fenced("dispatch"),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_without_a_defence_its_test_fails(name, monkeypatch):
+    owner, attribute, mutant, test = MUTANTS[name]
+    monkeypatch.setattr(owner, attribute, mutant)
+    with pytest.raises(AssertionError):
+        test()
