Around starts and stops each request has one end; a pipelined answer's mutant

Change: 60 requests in 20 ms steps over a start, 300 around a stop on new and kept connections, pipelined pairs of which the first takes longer; the mutant that takes up the next one meanwhile.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -16,6 +16,7 @@
 from loomstand import interface as i
 from loomstand.interface import Outcome
 from loomstand.net import http, servers
+from loomstand.net.clients import Client as FrontClient
 from loomstand.net.driver import Wire
 from loomstand.net.endings import Ending
 from loomstand.net.ring import Ring, Room
@@ -608,9 +609,71 @@
     fenced(act)
 
 
+# --- at a start, at a stop, and of a client that does not wait
+
+
+async def at_a_start(town: Odd) -> None:
+    """Requests that come while there is no configuration and no server yet."""
+    host = town.proxies[US]
+    host.kill()
+    await asyncio.sleep(2.0)
+    host.start()
+    await asyncio.sleep(0.001)
+    tasks = []
+    for n in range(60):
+        tasks.append(town.loop.create_task(town.asks(False, HOW[n % len(HOW)], 200, 100)))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*tasks)
+
+
+async def at_a_stop(town: Odd) -> None:
+    """Requests on new and kept connections, from before a SIGTERM until after the next start."""
+    host, tasks = town.proxies[US], []
+    for n in range(150):
+        if n == 50:
+            tasks.append(town.loop.create_task(town.happens(0.0, "term", 0.3)))
+        ask = town.client.ask("PUT", "town.example", "/once/x", "key-of-ann", b"body")
+        tasks.append(town.loop.create_task(town.client.once(ask, town.front, 2.0)))
+        tasks.append(town.loop.create_task(town.asks(False, HOW[n % len(HOW)], 200, 100)))
+        await asyncio.sleep(0.03)
+    await asyncio.gather(*tasks)
+    assert host.up
+
+
+async def not_waiting(town: Odd) -> None:
+    """Two requests in one piece, of which the first takes longer."""
+    for n in range(20):
+        town.script[:] = [("pause", 9 * n), ("", 0)]
+        await town.asks(n % 2 == 0, "pipelined", 0, 100)
+
+
+def odd(work: Callable[[Odd], Any]) -> None:
+    town = Odd()
+
+    async def run() -> None:
+        await work(town)
+        await asyncio.sleep(8.0)
+        assert len(town.book.runs()) > 10
+
+    try:
+        town.do(run())
+    finally:
+        town.close()
+
+
+@pytest.mark.parametrize("work", [at_a_start, at_a_stop, not_waiting])
+def test_each_request_has_one_end_around(work):
+    odd(work)
+
+
 # --- each defence taken out is noticed
 
 
+def taken_at_once(client: Any, handle: Any = FrontClient.handle) -> None:
+    handle(client)
+    client.req = None
+
+
 def by_position(link: Any, took: Any = UpstreamConnection.took) -> None:
     link.machine.fields = link.machine.fields | {b"loomstand-request-id": link.flight.req.request_id}
     took(link)
@@ -662,6 +725,9 @@
     ),
     "a reset is a proof": (servers, "outcome", reset_proves, every_byte),
     "sent past its deadline": (UpstreamConnection, "opened", Link.opened, lambda: staged(thaws_late)),
+    "the next request is taken up while one is out": (
+        FrontClient, "handle", taken_at_once, lambda: odd(not_waiting),
+    ),
     "a refusal while it is out": (Proxy, "deny", refused_anyhow, lambda: fenced("deny")),
     "a second sending while one is out": (
         Proxy, "try_limit", lambda proxy, req: 9, lambda: fenced("dispatch"),
