On real sockets too a given up connection is reset

Cause: that closing resets was seen on simulated streams only. Change: a test on loopback; the peer's read ends by a reset, not by an end behind which all would be served.

--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -231,6 +232,25 @@
     paired(called_off)
 
 
+def test_on_real_sockets_a_given_up_connection_is_reset():
+    async def run() -> None:
+        loop, net = asyncio.get_running_loop(), sockets.Sockets()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setblocking(False)
+            address = listening.getsockname()
+            for _ in range(sockets.PATIENCE):
+                assert (await net.call(address, "do", {}, 0.02)).error is Verdict.MAY_HAVE_RUN
+            there, _ = await loop.sock_accept(listening)
+            with there:
+                there.setblocking(False)
+                with pytest.raises(ConnectionResetError):  # not an end, behind which all would be served
+                    while await loop.sock_recv(there, 1 << 16):
+                        pass
+        assert not net.lines
+
+    asyncio.run(run())
+
+
 CALLS = st.lists(
     st.tuples(
         st.sampled_from((0.0, 0.0, 0.01, 0.1)), st.sampled_from((0.0, 0.01, 0.15)),
