What plays wrong answers and calls stands in the simulation

Cause: the servers, clients and lines that misbehave byte by byte were in test files, where others can't use them. Change: moved to simulation/wrong_answers.py and wrong_calls.py, unchanged but for names.

--- /dev/null
+++ b/loomstand/simulation/wrong_answers.py
@@ -0,0 +1,306 @@
+"""Servers and clients that send wrong, late, doubled and half answers, byte by byte, and what comes of them.
+
+`Stage` has a proxy's connections to one server, without its decisions; `OddCluster` a whole proxy.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter as Tally
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from loomstand.interface import Outcome
+from loomstand.net import http
+from loomstand.net.endings import Ending
+from loomstand.net.ring import Ring, Room
+from loomstand.proxy.request import Dispatch, ProxyRequest
+from loomstand.proxy.upstream import UpstreamPool
+from loomstand.simulation.cluster import FRONT, Cluster
+from loomstand.simulation.http_log import Broken, Message, Reply, Run, Talk
+from loomstand.simulation.loop import Life
+from loomstand.simulation.network import SimNetwork
+from loomstand.simulation.streams import Cables, Streams
+from loomstand.simulation.workload import Server
+
+US, THEM = "10.2.0.1", "10.3.0.1"
+PROOFS = {Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT}
+STAMP = "Loomstand-Response-Stamp: s"
+
+
+def said(status: int, id_: str = "", *lines: str, body: bytes = b"body") -> bytes:
+    """An answer's bytes."""
+    fields = [f"Loomstand-Request-Id: {id_}"] if id_ else []
+    head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *fields, *lines]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+class Played(Talk):
+    """A server's connection: runs each whole request and answers as its play says: bytes, seconds to wait,
+    or "reset", "close", "half" (its sending ends); it runs nothing where that begins with "refuse". `early`
+    answers once a head is there."""
+
+    def __init__(self, stage: Stage) -> None:
+        super().__init__()
+        self.stage = stage
+        self.task = asyncio.get_running_loop().create_task(self.serve(), context=stage.life.context())
+
+    async def serve(self) -> None:
+        try:
+            while True:
+                while b"\r\n\r\n" not in self.buf:
+                    await self.more()
+                if self.stage.early:
+                    await self.act(self.stage.plays.pop(0))
+                    self.stage.early = False
+                    continue
+                message = await self.message()
+                play = self.stage.plays.pop(0) if self.stage.plays else []
+                if play[:1] == ["refuse"]:
+                    del play[0]
+                else:
+                    self.stage.ran.append(message.fields["loomstand-request-id"])
+                    self.stage.ran_at[self.stage.ran[-1]] = self.stage.loop.time()
+                await self.act(play)
+        except Broken:
+            pass
+
+    async def act(self, play: list[Any]) -> None:
+        for step in play:
+            if isinstance(step, bytes):
+                if not self.transport.is_closing():
+                    self.transport.write(step)
+            elif isinstance(step, float):
+                await asyncio.sleep(step)
+            elif step == "reset":
+                self.transport.reset()
+                self.transport.fail(ConnectionResetError())
+            elif step == "half":
+                self.transport.write_eof()
+            else:
+                self.transport.close()
+
+
+class Stage:
+    """A pool of connections to one server, and in place of the proxy a book of what came of each request."""
+
+    def __init__(self) -> None:
+        self.sky = SimNetwork(Random(1))
+        self.cables = Cables(self.sky, Random(2))
+        self.loop = asyncio.get_running_loop()
+        self.room, self.endings, self.most_answer = Room(1 << 22), Tally[str](), 1 << 16
+        self.life, self.mine = Life(), Life()
+        self.plays: list[list[Any]] = []
+        self.early = False
+        self.ran: list[str] = []
+        self.ran_at: dict[str, float] = {}
+        self.came_of: dict[str, list[Outcome]] = {}
+        self.bodies: dict[str, tuple[int, bytes, str]] = {}
+        self.talks: list[Played] = []
+        self.pool = UpstreamPool(self, 0.25, 60.0)  # type: ignore[arg-type]
+        self.pool.connect = Streams(self.cables, US, self.mine).connect  # type: ignore[method-assign]
+        self.pool.told(0, (THEM, 80))
+
+    async def open(self) -> Stage:
+        def make() -> Played:
+            self.talks.append(Played(self))
+            return self.talks[-1]
+
+        await Streams(self.cables, THEM, self.life).listen(self.loop, make, (THEM, 80))
+        return self
+
+    def now(self) -> int:
+        return int(self.loop.time() * 10_000)
+
+    def spare_sockets(self) -> int:
+        return 9
+
+    def make_room(self, spared: Any = None) -> bool:
+        return False
+
+    def misdirected(self, flight: Any) -> None:
+        pass
+
+    def came(self, flight: Any, outcome: Outcome, metered: int = 0, body: bytes = b"") -> None:
+        if flight.timer is not None:
+            flight.timer.cancel()
+        id_ = flight.req.request_id.decode()
+        self.came_of.setdefault(id_, []).append(outcome)
+        if flight.req.got is not None:
+            self.bodies[id_] = flight.req.got
+
+    def request(self, id_: str, body: bytes = b"", idempotent: bool = False) -> ProxyRequest:
+        machine, ring = http.RequestReceiver(1 << 20), Ring(self.room, 1 << 21)
+        head = (
+            f"POST /x HTTP/1.1\r\nHost: h\r\nLoomstand-Request-Id: {id_}\r\nContent-Length: {len(body)}\r\n"
+        )
+        ring.put(head.encode() + b"\r\n" + body)
+        assert machine.step(ring)
+        req = ProxyRequest(machine)
+        req.route, req.service = SimpleNamespace(idempotent=idempotent), "s"
+        return req
+
+    def send(self, req: ProxyRequest, within: float = 1.0) -> Dispatch:
+        expire = self.now() + int(within * 10_000)
+        flight = Dispatch(req, len(req.flights), 0, self.now(), expire, "i-1")
+        req.flights.append(flight)
+        flight.timer = self.loop.call_later(within, self.pool.give_up, flight, Ending.EXPIRED)
+        self.pool.send(flight)
+        return flight
+
+    def check(self) -> None:
+        """No proof for what ran, one end for each sending, and only an own whole answer has passed."""
+        for id_, outcomes in self.came_of.items():
+            proved = sum(o in PROOFS for o in outcomes)
+            assert self.ran.count(id_) <= len(outcomes) - proved, (id_, outcomes)
+            if Outcome.PASSED in outcomes:
+                _, body, extra = self.bodies[id_]
+                assert body == b"of " + id_.encode() and f"loomstand-request-id: {id_}\r\n" in extra
+
+
+def whole(id_: str, *lines: str) -> bytes:
+    return said(200, id_, STAMP, *lines, body=b"of " + id_.encode())
+
+
+class Tricky(Server):
+    """A server whose requests meet what `script` says, one after the other: what befalls one, and at which
+    byte of its answer."""
+
+    script: list[tuple[str, int]]
+
+    async def one(self, talk: Any, message: Message) -> None:
+        talk.play = what, at = self.script.pop(0) if self.script else ("", 0)
+        id_ = message.fields["loomstand-request-id"]
+        if what in ("unread", "refuses twice"):
+            self.book.arrived(Run(self.now(), self.service, self.id, id_, "", False), message)
+        if what == "unread":
+            self.broken(talk)
+        elif what == "refuses twice":
+            raw = self.said(503, id_, b"full", turned=True)
+            talk.transport.write(raw + raw[:at])
+            await asyncio.sleep(0.01)
+            talk.transport.write(raw[at:])
+        else:
+            await super().one(talk, message)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def broken(self, talk: Any) -> None:
+        talk.transport.reset()
+        talk.transport.fail(ConnectionResetError())
+
+    async def answer(self, talk: Any, id_: str, trouble: str, late: bytes) -> None:
+        (what, at), body = talk.play, b"%s of %s" % (id_.encode(), self.id.encode())
+        raw = self.said(504 if late else 200, id_, body)
+        extra = {
+            "again": raw,
+            "nobody": self.said(503, "", b"", turned=True),
+            "bare": self.said(429, "", b""),
+        }
+        if what in extra:
+            raw += extra[what][:at]
+        elif what == "instead":
+            raw = extra["nobody"]
+        elif what in ("reset", "half", "close", "pause", "long pause"):
+            talk.transport.write(raw[:at])
+        if what == "reset":
+            self.broken(talk)
+        elif what == "half":
+            talk.transport.write_eof()
+        elif what == "close":
+            talk.transport.close()
+        elif what in ("pause", "long pause"):
+            await asyncio.sleep(0.02 if what == "pause" else 3.0)
+            if not talk.over:
+                talk.transport.write(raw[at:])
+        elif what != "silent" and not talk.over:
+            talk.transport.write(raw)
+            if what in extra:
+                await asyncio.sleep(0.004)
+                talk.transport.write(extra[what][at:])
+
+
+class OddCluster(Cluster):
+    """One proxy, two tricky servers a service."""
+
+    def __init__(self, script: list[tuple[str, int]] | None = None) -> None:
+        self.script = script or []
+        super().__init__(3, cores=1, proxies=1, servers=2)
+        self.do(self.begin())
+        self.front, self.whole = (US, FRONT), set[str]()
+
+    def server(self, ip: str, service: str, zone: str) -> Server:
+        made = super().server(ip, service, zone)
+        made.__class__, made.script = Tricky, self.script  # type: ignore[attr-defined]
+        return made
+
+    async def asks(self, idempotent: bool, how: str, at: int, size: int) -> None:
+        """One client's request, sent in some way; its answers are checked against their ids."""
+        many = 2 if how == "pipelined" else 1
+        asks = [
+            self.client.ask(
+                "PUT", "town.example", f"/{'a' if idempotent else 'once'}/x", "key-of-ann", bytes(size),
+                idempotent,
+            )
+            for _ in range(many)
+        ]  # fmt: skip
+        raw = b"".join(self.client.raw(ask, 2.0) for ask in asks)
+        at = len(raw) * at // 400
+        try:
+            async with asyncio.timeout(3.0):
+                talk = await self.streams("10.9.0.1").open(Talk, self.front, 1.0)
+                talk.transport.write(raw if how in ("whole", "pipelined", "half", "leaves") else raw[:at])
+                if how == "pieces":
+                    await asyncio.sleep(0.03)
+                    talk.transport.write(raw[at:])
+                elif how == "half" and talk.transport.get_write_buffer_size() == 0:
+                    talk.transport.write_eof()
+                elif how in ("breaks", "leaves"):
+                    await asyncio.sleep(0.0 if how == "breaks" else at / 20_000)
+                    talk.transport.abort()
+                    if how == "leaves" or at == len(raw):
+                        self.whole.update(ask.id for ask in asks)
+                    return
+                self.whole.update(ask.id for ask in asks)
+                for ask in asks:
+                    got = await talk.message()
+                    self.book.got(ask, Reply(got.status, "", got.fields, got.body, self.loop.time()))
+        except (Broken, OSError, TimeoutError):
+            pass
+
+    async def happens(self, after: float, what: str, lasts: float) -> None:
+        await asyncio.sleep(after)
+        host, servers = self.proxies[US], [s for many in self.servers.values() for s in many]
+        server, there = servers[int(after * 1000) % 2], [s.address[0] for s in servers]
+        if what in ("cut", "deaf", "dumb"):
+            pairs = {(ip, US) for ip in there} if what != "deaf" else set()
+            self.sky.cuts |= pairs | ({(US, ip) for ip in there} if what != "dumb" else set())
+        elif what == "away":
+            self.sky.cut("10.9.0.1", US)
+        elif what == "freeze":
+            host.freeze()
+        elif what == "server freezes" and server.life is not None:
+            server.life.frozen = True
+        elif what == "server dies":
+            server.kill()
+        elif what == "term":
+            await host.end()
+        await asyncio.sleep(lasts)
+        self.sky.mend()
+        host.thaw()
+        if server.life is not None and server.life.alive:
+            server.life.thaw()
+        elif server.life is not None:
+            server.start()
+        if not host.up:
+            host.start()
+
+
+BEFALLS = [
+    "", "", "unread", "refuses twice", "again", "nobody", "bare", "instead", "reset", "half", "close",
+    "pause", "long pause", "silent",
+]  # fmt: skip
+HOW = ["whole", "whole", "pieces", "pipelined", "half", "breaks", "leaves"]
+HAPPENS = ["cut", "deaf", "dumb", "away", "freeze", "server freezes", "server dies", "term"]
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -5,121 +5,18 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 import pytest
-from expression import Result
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from loomstand.rpc import frames, sockets
 from loomstand.rpc.frames import pack
 from loomstand.rpc.sockets import Line
-from loomstand.shared.verdict import Refused, Verdict
-from loomstand.simulation.loop import Life, play
-from loomstand.simulation.network import SimNetwork
-from loomstand.simulation.stream_network import StreamLine, StreamSockets
-from loomstand.simulation.streams import Cables, Streams
-
-HERE, THERE = "10.0.0.1", ("10.0.0.2", 7340)
-
-
-class OddLine(StreamLine):
-    """A server's connection that sends its answers as `owner.plays` says: each a way, and at which byte."""
-
-    def __init__(self, owner: Any, serve: Any) -> None:
-        super().__init__(owner, serve)
-        self.whole, self.ended, self.summed = asyncio.Lock(), False, False
-
-    async def answer(self, number: int, op: str, body: Any) -> None:
-        try:
-            raw = pack([number, True, await self.serve(op, body)])
-        except Refused:
-            raw = pack([number, False, {}])
-        how, at = self.owner.plays.pop(0) if self.owner.plays else ("", 0)
-        async with self.whole:
-            if not self.summed:  # the first frame may be of one that makes no sums yet
-                self.summed, how = True, "" if how == "spoilt" else how
-            await self.sent(number, raw, how, at % len(raw))
-
-    async def sent(self, number: int, raw: bytes, how: str, at: int) -> None:
-        if how == "pause":
-            self.say(raw[:at])
-            await asyncio.sleep(0.02)
-            self.say(raw[at:])
-        elif how in ("reset", "close", "half"):
-            self.say(raw[:at])
-            if how == "reset":
-                self.close()
-            elif how == "half" and not self.transport.is_closing():
-                self.ended = True
-                self.transport.write_eof()
-            else:
-                self.transport.close()
-        elif how == "spoilt":
-            self.say(raw[:at] + bytes([raw[at] ^ (1 << (at % 8))]) + raw[at + 1 :])
-        elif how == "foreign":
-            self.say(pack([number + 10_000, True, {"n": "foreign"}]) + raw)
-        elif how == "no answer":
-            self.say(pack([number, "x", {"n": "none"}]))
-        else:
-            self.say(raw)
-        if how in ("twice", "late twice"):
-            await asyncio.sleep(0.1 if how == "late twice" else 0.0)
-            self.say(pack([number, True, {"n": "again"}]))
-
-    def say(self, raw: bytes) -> None:
-        if not self.transport.is_closing() and not self.ended:
-            self.transport.write(raw)
-
-
-class Odd(StreamSockets):
-    plays: list[tuple[str, int]]
-
-    async def listen(self, address: Any, serve: Any) -> None:
-        loop = asyncio.get_running_loop()
-        await self.streams.listen(loop, lambda: OddLine(self, serve), address)
-
-
-class Pair:
-    """A caller and one that is called, which notes what it ran."""
-
-    def __init__(self, plays: list[tuple[str, int]] | None = None) -> None:
-        self.sky, self.loop = SimNetwork(Random(1)), asyncio.get_running_loop()
-        self.cables = Cables(self.sky, Random(2))
-        self.life, self.ran, self.said = Life(), [], dict[int, Result[Any, Verdict]]()
-        self.caller = StreamSockets(Streams(self.cables, HERE, Life()))
-        self.called = Odd(Streams(self.cables, THERE[0], self.life))
-        self.called.plays = plays or []
-        self.ran_at: dict[int, float] = {}
-
-    async def open(self) -> Pair:
-        await self.called.listen(THERE, self.serve)
-        return self
-
-    async def serve(self, op: str, body: Any) -> Any:
-        if op == "refuse":
-            raise Refused("no")
-        self.ran.append(body["n"])
-        self.ran_at[body["n"]] = self.loop.time()
-        await asyncio.sleep(body["for"])
-        return {"n": body["n"]}
-
-    async def call(self, n: int, lasts: float = 0.0, within: float = 0.3, size: int = 0) -> Any:
-        body = {"n": n, "for": lasts, "fill": bytes(size)}
-        self.said[n] = got = await self.caller.call(THERE, "do", body, within)
-        return got
-
-    def check(self) -> None:
-        """Each answer is the own one, nothing runs twice, and what is proved not to have run hasn't."""
-        for n, got in self.said.items():
-            assert self.ran.count(n) <= 1
-            if got.is_ok():
-                assert got.ok == {"n": n} and n in self.ran
-            else:
-                assert got.error is not Verdict.NEVER_RAN or n not in self.ran, n
-                assert got.error is not Verdict.REFUSED, n
+from loomstand.shared.verdict import Verdict
+from loomstand.simulation.loop import play
+from loomstand.simulation.wrong_calls import HERE, THERE, WAYS, Pair
 
 
 def paired(work: Callable[[Pair], Any], plays: list[tuple[str, int]] | None = None) -> None:
@@ -133,9 +30,6 @@
     play(run)
 
 
-WAYS = ["", "pause", "reset", "close", "half", "spoilt", "foreign", "no answer", "twice", "late twice"]
-
-
 async def every_way(pair: Pair) -> None:
     n = 0
     for how in WAYS:
@@ -308,11 +202,6 @@
             sockets.give(line.waiting.pop(next(iter(line.waiting))), (what is True, body))
 
 
-def by_cancelling(waits: asyncio.Future[Any] | None, answer: Any) -> None:
-    if waits is not None and not waits.done():
-        waits.set_result(answer) if answer is not None else waits.cancel()
-
-
 async def swallowed(net: Any, *said: Any, call: Any = sockets.Sockets.call) -> Any:
     try:
         return await call(net, *said)
