Drawn plays: a server whose sending has ended writes no more

Cause: 601 drawn plays found one whose server wrote after its half-close: a fault of the player, not of the proxy. Change: it leaves that answer out; the play stays as an example.

--- a/loomstand/simulation/wrong_answers.py
+++ b/loomstand/simulation/wrong_answers.py
@@ -193,6 +193,8 @@
 
     async def answer(self, talk: Any, id_: str, trouble: str, late: bytes) -> None:
         (what, at), body = talk.play, b"%s of %s" % (id_.encode(), self.id.encode())
+        if talk.transport.ending:  # its sending ended after the answer before
+            return
         raw = self.said(504 if late else 200, id_, body)
         extra = {
             "again": raw,
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from loomstand import interface as i
@@ -290,6 +290,7 @@
 @settings(max_examples=120, deadline=None, derandomize=True, database=None,
           suppress_health_check=[HealthCheck.too_slow])  # fmt: skip
 @given(SCRIPT, REQUESTS, EVENTS)
+@example([("half", 190), ("reset", 0)], [(0.0, False, "pipelined", 0, 0)], [])
 def test_drawn_troubles_on_both_sides_mix_no_answers_and_run_nothing_twice(script, requests, events):
     played(script, requests, events)
 
