--- a/loomstand/simulation/wrong_answers.py
+++ b/loomstand/simulation/wrong_answers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import Counter as Tally
+from contextlib import suppress
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -77,7 +78,8 @@
                 self.transport.reset()
                 self.transport.fail(ConnectionResetError())
             elif step == "half":
-                self.transport.write_eof()
+                with suppress(OSError):  # it may be reset already
+                    self.transport.write_eof()
             else:
                 self.transport.close()
 
@@ -211,7 +213,8 @@
         if what == "reset":
             self.broken(talk)
         elif what == "half":
-            talk.transport.write_eof()
+            with suppress(OSError):  # it may be reset already
+                talk.transport.write_eof()
         elif what == "close":
             talk.transport.close()
         elif what in ("pause", "long pause"):
@@ -259,7 +262,8 @@
                     await asyncio.sleep(0.03)
                     talk.transport.write(raw[at:])
                 elif how == "half" and talk.transport.get_write_buffer_size() == 0:
-                    talk.transport.write_eof()
+                    with suppress(OSError):  # it may be reset already
+                        talk.transport.write_eof()
                 elif how in ("breaks", "leaves"):
                     await asyncio.sleep(0.0 if how == "breaks" else at / 20_000)
                     talk.transport.abort()
--- a/loomstand/simulation/wrong_calls.py
+++ b/loomstand/simulation/wrong_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from random import Random
 from typing import Any
 
@@ -48,7 +49,8 @@
                 self.close()
             elif how == "half" and not self.transport.is_closing():
                 self.ended = True
-                self.transport.write_eof()
+                with suppress(OSError):  # it may be reset already
+                    self.transport.write_eof()
             else:
                 self.transport.close()
         elif how == "spoilt":
