--- a/loomstand/simulation/wrong_answers.py
+++ b/loomstand/simulation/wrong_answers.py
@@ -257,7 +257,10 @@
         try:
             async with asyncio.timeout(3.0):
                 talk = await self.streams("10.9.0.1").open(Talk, self.front, 1.0)
-                talk.transport.write(raw if how in ("whole", "pipelined", "half", "leaves") else raw[:at])
+                at_once = how in ("whole", "pipelined", "half", "leaves")
+                if at_once or how == "pieces" or at == len(raw):
+                    self.whole.update(ask.id for ask in asks)
+                talk.transport.write(raw if at_once else raw[:at])
                 if how == "pieces":
                     await asyncio.sleep(0.03)
                     talk.transport.write(raw[at:])
@@ -267,10 +270,7 @@
                 elif how in ("breaks", "leaves"):
                     await asyncio.sleep(0.0 if how == "breaks" else at / 20_000)
                     talk.transport.abort()
-                    if how == "leaves" or at == len(raw):
-                        self.whole.update(ask.id for ask in asks)
                     return
-                self.whole.update(ask.id for ask in asks)
                 for ask in asks:
                     got = await talk.message()
                     self.book.got(ask, Reply(got.status, "", got.fields, got.body, self.loop.time()))
