--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,468 @@
+"""Answers and their callers on simulated streams: each to its own, and none run twice that must not."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from loomstand import interface as i
+from loomstand.interface import Outcome
+from loomstand.net import servers
+from loomstand.net.clients import Client as FrontClient
+from loomstand.net.driver import Wire
+from loomstand.net.endings import Ending
+from loomstand.net.servers import Link
+from loomstand.proxy import upstream
+from loomstand.proxy.program import Proxy
+from loomstand.proxy.upstream import UpstreamConnection, UpstreamPool
+from loomstand.simulation.loop import play
+from loomstand.simulation.streams import WINDOW
+from loomstand.simulation.wrong_answers import (
+    BEFALLS,
+    HAPPENS,
+    HOW,
+    STAMP,
+    THEM,
+    US,
+    OddCluster,
+    Stage,
+    said,
+    whole,
+)  # fmt: skip
+
+
+def staged(work: Callable[[Stage], Any]) -> None:
+    async def run() -> None:
+        stage = await Stage().open()
+        await work(stage)
+        stage.sky.mend()
+        await asyncio.sleep(20.0)  # what is late comes now
+        stage.check()
+
+    play(run)
+
+
+# --- from servers, at each byte
+
+
+def every_byte() -> None:
+    for how in ("close", "reset", "half", "silence", "pause"):
+
+        async def work(stage: Stage) -> None:
+            for at in range(len(whole("r000"))):
+                id_ = f"r{at:03}"
+                raw = whole(id_)
+                steps = {"silence": [2.0, raw[at:]], "pause": [0.02, raw[at:]]}.get(how, [how])  # noqa: B023
+                stage.plays = [[raw[:at], *steps]]
+                stage.send(stage.request(id_), 0.2)
+                await asyncio.sleep(0.25)
+                passes = Outcome.PASSED if how == "pause" else None  # noqa: B023
+                lost = Outcome.NO_ANSWER if how == "silence" else Outcome.CONNECTION_LOST  # noqa: B023
+                assert stage.came_of[id_] == [passes or lost], (how, at)  # noqa: B023
+                stage.plays = []
+
+        staged(work)
+
+
+def test_an_answer_cut_at_any_byte_passes_only_whole_and_proves_nothing():
+    every_byte()
+
+
+def surplus(made: Callable[[str], bytes], *, ahead: bool) -> Callable[[Stage], Any]:
+    """One request's second answer, cut at each byte: the rest of it comes where the next one's is due."""
+
+    async def work(stage: Stage) -> None:
+        size = len(made("r0000"))
+        for at in range(0, size + 1):
+            first, second = f"r{at:04}", f"n{at:04}"
+            extra, own = made(first), whole(second)
+            stage.plays = [
+                [whole(first), extra[:at]],
+                [extra[at:] + own] if ahead else [extra[at:], 0.01, own],
+            ]
+            stage.send(stage.request(first))
+            await asyncio.sleep(0.008 if at % 2 else 0.02)
+            stage.send(stage.request(second))
+            await asyncio.sleep(0.1)
+            assert stage.came_of[first] == [Outcome.PASSED]
+            assert set(stage.came_of[second]) <= {Outcome.PASSED, Outcome.CONNECTION_LOST}
+            for links in list(stage.pool.idle.values()):
+                for link in list(links):
+                    stage.pool.shut(link, Ending.IDLE)
+
+    return work
+
+
+SURPLUS: dict[str, Callable[[str], bytes]] = {
+    "again": lambda id_: whole(id_),
+    "refusal": lambda id_: said(503, id_, "Loomstand-Not-Executed: true"),
+    "nobody's refusal": lambda id_: said(503, "", "Loomstand-Not-Executed: true"),
+    "nobody's error": lambda id_: said(500, ""),
+    "interim": lambda id_: b"HTTP/1.1 100 Continue\r\n\r\n" + whole(id_),
+}
+
+
+@pytest.mark.parametrize("ahead", [True, False])
+@pytest.mark.parametrize("what", SURPLUS)
+def test_a_surplus_answer_in_pieces_is_never_the_next_ones(what, ahead):
+    staged(surplus(SURPLUS[what], ahead=ahead))
+
+
+REFUSED = "Loomstand-Not-Executed: true"
+
+
+async def refused_twice(stage: Stage) -> None:
+    size = len(said(503, "r0000", REFUSED))
+    for at in range(0, size + 1, 3):
+        id_, req = f"r{at:04}", stage.request(f"r{at:04}")
+        raw = said(503, id_, REFUSED)
+        stage.plays = [["refuse", raw, raw[:at], 0.02, raw[at:]], [0.05, whole(id_)]]
+        stage.send(req)
+        await asyncio.sleep(0.012)
+        stage.send(req)  # as where no other server has room
+        await asyncio.sleep(0.2)
+        assert stage.came_of[id_] == [Outcome.TURNED_AWAY, Outcome.PASSED]
+
+
+def test_a_second_copy_of_a_refusal_is_not_the_answer_to_the_second_sending():
+    staged(refused_twice)
+
+
+def bare_promises(status: int) -> Callable[[Stage], Any]:
+    async def work(stage: Stage) -> None:
+        for id_, lines in ("bare", []), ("with", [REFUSED]):
+            proof = status != 200 if lines else status == 421
+            success = [STAMP] if status == 200 else []
+            stage.plays = [["refuse"] * proof + [said(status, id_, *success, *lines, body=b"of bare")]]
+            stage.send(stage.request(id_))
+            await asyncio.sleep(0.1)
+            expected = Outcome.TURNED_AWAY if proof else Outcome.CONNECTION_LOST
+            assert stage.came_of[id_] == [Outcome.PASSED if success and not lines else expected]
+
+    return work
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503, 200])
+def test_what_clients_take_for_a_promise_comes_from_a_server_only_with_its_own_word(status):
+    staged(bare_promises(status))
+
+
+# --- to servers
+
+
+async def behind_a_cut(stage: Stage) -> None:
+    """Bodies below and above the window, cut off at several moments, given up, and the cut healed."""
+    for n, size in enumerate((0, 100, WINDOW - 400, WINDOW, 3 * WINDOW, 6 * WINDOW)):
+        for after in (0.0, 0.001, 0.004, 0.006, 0.009, 0.013, 0.02):
+            id_ = f"r{n}{after}"
+            stage.plays = [[1.0, whole(id_)]]
+            stage.send(stage.request(id_, bytes(size)), 0.3)
+            await asyncio.sleep(after)
+            stage.sky.cut(US, THEM)
+            await asyncio.sleep(0.4)
+            given_up = stage.loop.time()
+            stage.sky.mend()
+            await asyncio.sleep(6.0)
+            assert stage.ran_at.get(id_, 0.0) < given_up, f"{id_} ran late, of {stage.came_of[id_]}"
+
+
+def test_what_is_given_up_behind_a_cut_is_not_delivered_when_that_heals():
+    staged(behind_a_cut)
+
+
+def test_a_connect_under_way_at_the_deadline_carries_nothing_later():
+    async def work(stage: Stage) -> None:
+        for n in range(20):
+            stage.send(stage.request(f"r{n}"), 0.0005 * n)
+            await asyncio.sleep(0.1)
+            assert len(stage.came_of[f"r{n}"]) == 1
+
+    staged(work)
+
+
+async def thaws_late(stage: Stage) -> None:
+    flight = stage.send(stage.request("r"))
+    flight.timer.cancel()
+    flight.expire = stage.now()  # this process stood still until after that
+    await asyncio.sleep(0.5)
+    assert stage.came_of == {"r": [Outcome.NO_CONNECTION]} and stage.ran == []
+
+
+def test_a_process_that_stood_still_past_the_deadline_sends_nothing():
+    staged(thaws_late)
+
+
+async def a_silence(stage: Stage) -> None:
+    stage.plays = [[0.05, whole("a")], [0.05, whole("b")], [], [whole("d")]]
+    for id_ in "ab":  # two kept connections
+        stage.send(stage.request(id_))
+    await asyncio.sleep(0.2)
+    assert len(stage.talks) == 2
+    stage.life.frozen = True
+    stage.send(stage.request("c"), 0.2)
+    await asyncio.sleep(0.3)
+    assert stage.came_of["c"] == [Outcome.NO_ANSWER]
+    stage.life.thaw()  # and it runs what is in its buffers
+    await asyncio.sleep(0.1)
+    assert stage.ran == ["a", "b", "c"]
+    stage.send(stage.request("d"))
+    await asyncio.sleep(0.1)
+    assert stage.came_of["d"] == [Outcome.PASSED] and len(stage.talks) == 3, (
+        "a connection of before a silence"
+    )
+
+
+def test_after_a_silence_no_connection_of_before_is_used_and_a_late_run_breaks_no_word():
+    staged(a_silence)
+
+
+def answered_early(status: int) -> Callable[[Stage], Any]:
+    async def work(stage: Stage) -> None:
+        stage.early, raw = True, whole("r") if status == 200 else said(503, "r", REFUSED)
+        stage.plays = [[raw], [whole("n")]]
+        stage.send(stage.request("r", bytes(5 * WINDOW)))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["r"] == [Outcome.PASSED if status == 200 else Outcome.TURNED_AWAY]
+        assert "r" not in stage.ran and not stage.pool.links
+        stage.send(stage.request("n"))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["n"] == [Outcome.PASSED] and len(stage.talks) == 2
+
+    return work
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_an_answer_that_comes_before_its_request_is_written_ends_that_connection(status):
+    staged(answered_early(status))
+
+
+def test_surplus_answers_without_end_do_not_keep_a_request():
+    async def work(stage: Stage) -> None:
+        stage.plays = [[whole("x") * 40 + whole("r")]]
+        stage.send(stage.request("r"))
+        await asyncio.sleep(0.2)
+        assert stage.came_of["r"] == [Outcome.CONNECTION_LOST]
+
+    staged(work)
+
+
+# --- the whole proxy, drawn
+
+
+SCRIPT = st.lists(st.tuples(st.sampled_from(BEFALLS), st.integers(0, 250)), max_size=12)
+REQUESTS = st.lists(
+    st.tuples(
+        st.sampled_from((0.0, 0.0, 0.005, 0.02, 0.3)), st.booleans(), st.sampled_from(HOW),
+        st.integers(0, 400), st.sampled_from((0, 100, 100, 15_900, 50_000)),
+    ),
+    min_size=1, max_size=10,
+)  # fmt: skip
+EVENTS = st.lists(
+    st.tuples(st.floats(0.0, 0.5), st.sampled_from(HAPPENS), st.sampled_from((0.05, 0.5, 3.0))), max_size=3
+)
+
+
+def played(script: list[Any], requests: list[Any], events: list[Any]) -> OddCluster:
+    town = OddCluster(list(script))
+
+    async def work() -> None:
+        tasks = [town.loop.create_task(town.happens(*event)) for event in events]
+        for gap, *request in requests:
+            await asyncio.sleep(gap)
+            tasks.append(town.loop.create_task(town.asks(*request)))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(12.0)  # what is late comes now
+
+    try:
+        town.do(work())
+        early = {run.id for run in town.book.runs()} - town.whole
+        assert not early, f"ran before they were sent whole: {early}"
+    finally:
+        town.close()
+    return town
+
+
+@settings(max_examples=120, deadline=None, derandomize=True, database=None,
+          suppress_health_check=[HealthCheck.too_slow])  # fmt: skip
+@given(SCRIPT, REQUESTS, EVENTS)
+@example([("half", 190), ("reset", 0)], [(0.0, False, "pipelined", 0, 0)], [])
+def test_drawn_troubles_on_both_sides_mix_no_answers_and_run_nothing_twice(script, requests, events):
+    played(script, requests, events)
+
+
+# --- the fences around the module's decisions
+
+
+async def held_up(town: OddCluster) -> tuple[Any, Any, asyncio.Task[Any]]:
+    """A request not to be repeated that is out at a server; the proxy, its request there, its end."""
+    ask = town.client.ask("PUT", "town.example", "/once/x", "key-of-ann", b"body")
+    task = town.loop.create_task(town.client.once(ask, town.front))
+    await asyncio.sleep(0.05)
+    proxy = town.proxy(US)
+    (req,) = [r for r in proxy.reqs.values() if r.request_id == ask.id.encode()]
+    assert any(req.flights)
+    return proxy, req, task
+
+
+def fenced(act: str) -> None:
+    town = OddCluster([("pause", 50)] if act == "deny" else [("long pause", 0)])
+
+    async def work() -> None:
+        proxy, req, task = await held_up(town)
+        if act == "deny":
+            proxy.deny(i.Deny(req.id, "given up", 0))
+        else:
+            for srv in proxy.identifiers:
+                proxy.dispatch(i.Dispatch(req.id, srv, req.give_up))
+        reply = await task
+        assert reply.status not in (408, 421, 429, 503)
+        assert len(town.book.runs()) <= 1
+
+    try:
+        town.do(work())
+    finally:
+        town.close()
+
+
+@pytest.mark.parametrize("act", ["deny", "dispatch"])
+def test_whatever_the_module_says_no_promise_and_no_second_sending_while_one_is_out(act):
+    fenced(act)
+
+
+# --- at a start, at a stop, and of a client that does not wait
+
+
+async def at_a_start(town: OddCluster) -> None:
+    """Requests that come while there is no configuration and no server yet."""
+    host = town.proxies[US]
+    host.kill()
+    await asyncio.sleep(2.0)
+    host.start()
+    await asyncio.sleep(0.001)
+    tasks = []
+    for n in range(60):
+        tasks.append(town.loop.create_task(town.asks(False, HOW[n % len(HOW)], 200, 100)))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*tasks)
+
+
+async def at_a_stop(town: OddCluster) -> None:
+    """Requests on new and kept connections, from before a SIGTERM until after the next start."""
+    host, tasks = town.proxies[US], []
+    for n in range(150):
+        if n == 50:
+            tasks.append(town.loop.create_task(town.happens(0.0, "term", 0.3)))
+        ask = town.client.ask("PUT", "town.example", "/once/x", "key-of-ann", b"body")
+        tasks.append(town.loop.create_task(town.client.once(ask, town.front, 2.0)))
+        tasks.append(town.loop.create_task(town.asks(False, HOW[n % len(HOW)], 200, 100)))
+        await asyncio.sleep(0.03)
+    await asyncio.gather(*tasks)
+    assert host.up
+
+
+async def not_waiting(town: OddCluster) -> None:
+    """Two requests in one piece, of which the first takes longer."""
+    for n in range(20):
+        town.script[:] = [("pause", 9 * n), ("", 0)]
+        await town.asks(n % 2 == 0, "pipelined", 0, 100)
+
+
+def odd(work: Callable[[OddCluster], Any]) -> None:
+    town = OddCluster()
+
+    async def run() -> None:
+        await work(town)
+        await asyncio.sleep(8.0)
+        assert len(town.book.runs()) > 10
+
+    try:
+        town.do(run())
+    finally:
+        town.close()
+
+
+@pytest.mark.parametrize("work", [at_a_start, at_a_stop, not_waiting])
+def test_each_request_has_one_end_around(work):
+    odd(work)
+
+
+# --- each defence taken out is noticed
+
+
+def taken_at_once(client: Any, handle: Any = FrontClient.handle) -> None:
+    handle(client)
+    client.req = None
+
+
+def by_position(link: Any, took: Any = UpstreamConnection.took) -> None:
+    link.machine.fields = link.machine.fields | {b"loomstand-request-id": link.flight.req.request_id}
+    took(link)
+
+
+def without_id_by_position(link: Any, took: Any = UpstreamConnection.took) -> None:
+    took(link) if b"loomstand-request-id" in link.machine.fields else by_position(link, took)
+
+
+def used_after_a_silence(pool: Any, flight: Any, why: Ending) -> None:
+    if flight.link is not None and flight.link.flight is flight:
+        flight.link.wire.stop(why)  # and the others stay
+
+
+def same_connection(pool: Any, flight: Any, send: Any = UpstreamPool.send) -> None:
+    flight.req.met = ()
+    send(pool, flight)
+
+
+def kept_early(link: Any, close: bool) -> None:
+    link.flight = None
+    link.machine.reset()
+    link.pool.keep(link)
+
+
+def reset_proves(ending: Ending, written: bool) -> Outcome:
+    return Outcome.NO_CONNECTION if ending in (Ending.RESET, Ending.CLOSED) else Outcome.NO_ANSWER
+
+
+def refused_anyhow(proxy: Any, act: Any) -> None:
+    proxy.answer(proxy.reqs[act.req], 503)
+
+
+AHEAD = surplus(SURPLUS["again"], ahead=True)
+NOBODYS = surplus(SURPLUS["nobody's refusal"], ahead=True)
+MUTANTS: dict[str, tuple[Any, str, Any, Callable[[], None]]] = {
+    "match by position": (UpstreamConnection, "took", by_position, lambda: staged(AHEAD)),
+    "match by position where there is no id": (
+        UpstreamConnection, "took", without_id_by_position, lambda: staged(NOBODYS),
+    ),
+    "reuse after a silence": (UpstreamPool, "give_up", used_after_a_silence, lambda: staged(a_silence)),
+    "close without a reset": (Wire, "sever", lambda wire: None, lambda: staged(behind_a_cut)),
+    "second sending on the same connection": (
+        UpstreamPool, "send", same_connection, lambda: staged(refused_twice),
+    ),
+    "a bare 503 is a promise": (upstream, "own", lambda *_: True, lambda: staged(bare_promises(503))),
+    "an early answer's connection is kept": (
+        UpstreamConnection, "done", kept_early, lambda: staged(answered_early(503)),
+    ),
+    "a reset is a proof": (servers, "outcome", reset_proves, every_byte),
+    "sent past its deadline": (UpstreamConnection, "opened", Link.opened, lambda: staged(thaws_late)),
+    "the next request is taken up while one is out": (
+        FrontClient, "handle", taken_at_once, lambda: odd(not_waiting),
+    ),
+    "a refusal while it is out": (Proxy, "deny", refused_anyhow, lambda: fenced("deny")),
+    "a second sending while one is out": (
+        Proxy, "try_limit", lambda proxy, req: 9, lambda: fenced("dispatch"),
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_without_a_defence_its_test_fails(name, monkeypatch):
+    owner, attribute, mutant, test = MUTANTS[name]
+    monkeypatch.setattr(owner, attribute, mutant)
+    with pytest.raises(AssertionError):
+        test()
