--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from absl import logging
-from expression import Result
+from expression import Error, Result
 
 from loomstand.registry.clock import Clock
 from loomstand.registry.counters import Counters
@@ -27,11 +27,13 @@
 from loomstand.shared.settings import Settings
 from loomstand.shared.units import address_text
 from loomstand.shared.verdict import Refused, Verdict
+from loomstand.store import answers
 
 TELL = 1.0  # seconds between what registries tell each other unasked
 TOLD_WITHIN = 0.35  # a drain's acknowledgement waits so long for the others; servers wait a second for it
 STATUS = 0.4  # seconds in which the store answers
 SETTLED = 3.0  # seconds after its start by when it doesn't start together with others
+WAITS = 0.8  # seconds for which the store beside it holds back an answer without news
 KNOWN = 1.2  # seconds for which the store's last word counts: the length of its lease
 STORE_WITHIN = 0.95  # operators wait a second
 READ_WITHIN = 0.8
@@ -57,7 +59,8 @@
         self.hands_told = 0  # of the limiters' versions
         self.facts = 0  # grows with what limiters hear beside servers
         self.version, self.data = 0, b""  # the configuration
-        self.sure = False  # whether it is known to be the newest: a primary was heard of
+        self.said_sure = False  # whether the store last said that it is the newest: a primary was heard of
+        self.sure_until = clock()  # that word counts no longer; it may come from before this process froze
         self.holding = CountingLease(settings.ip_address, self.rng.getrandbits(32))
         self.settled = clock() + SETTLED
         self.turn = asyncio.Event()  # something has changed about who counts
@@ -313,14 +316,14 @@
         here, heard, mark = self.settings.store(self.settings.ip_address), self.clock(), 0
         while not self.stopping:
             asked = self.clock()
-            said = {"have": self.version, "mark": mark, "within": 0.8}
+            said = {"have": self.version, "mark": mark, "within": WAITS}
             got = await self.network.call(here, "wait", said, KNOWN)
             if got.is_ok():
                 heard, mark = asked, int(got.ok.get("mark", 0))
-                self.heard_store(got.ok)
+                self.heard_store(got.ok, asked)
                 continue
-            if self.sure and self.clock() - heard >= KNOWN:  # it may be cut off, as far as is known here
-                self.sure = False
+            if self.said_sure and self.clock() - heard >= KNOWN:  # it may be cut off, as far as is known here
+                self.said_sure = False
                 self.fact()
             await asyncio.sleep(0.1)
 
@@ -362,8 +365,14 @@
         if before != (self.holding.primary, self.holding.term):
             self.turn.set()
 
-    def heard_store(self, said: Body) -> None:
-        """What the store says of itself."""
+    @property
+    def sure(self) -> bool:
+        """Whether the configuration held is known to be the newest."""
+        return self.said_sure and self.clock() < self.sure_until
+
+    def heard_store(self, said: Body, asked: float) -> None:
+        """What the store says of itself, asked at that time."""
+        self.sure_until = asked + WAITS + KNOWN
         if int(said["version"]) > self.version and "data" in said:
             self.version, self.data = int(said["version"]), bytes(said["data"])
             logging.info("configuration r%d held", self.version)
@@ -376,8 +385,8 @@
         self.named((str(primary[0]), int(primary[1])) if primary else None, said.get("duty"))
         sure = bool(said.get("ready")) and primary is not None and int(said["version"]) <= self.version
         cores = tuple(sorted({self.settings.ip_address, *(str(a[0]) for a in said.get("cores", ()))}))
-        if (sure, cores) != (self.sure, self.cores):
-            self.sure, self.cores = sure, cores
+        if (sure, cores) != (self.said_sure, self.cores):
+            self.said_sure, self.cores = sure, cores
             self.fact()
 
     async def give(self) -> None:
@@ -396,7 +405,7 @@
 
     async def store(self, op: str, body: Body, within: float) -> Result[Body, Verdict]:
         """Calls the store: the one beside this registry hands on to the primary; others where it is down."""
-        here, until = self.settings.ip_address, self.clock() + within
+        here, asked, until = self.settings.ip_address, self.clock(), self.clock() + within
         got = await self.network.call(self.settings.store(here), op, body, within)
         for ip in self.cores:
             left = until - self.clock()
@@ -404,6 +413,8 @@
                 break
             if ip != here:
                 got = await self.network.call(self.settings.store(ip), op, body, left)
+        if got.is_ok() and not answers.left(got.ok, asked, self.clock(), within):
+            return Error(Verdict.MAY_HAVE_RUN)  # this process froze meanwhile, or the answer lay in a socket
         return got
 
     # calls from outside
