Model checker: reads after a cut, members that leave for good, third copies

Cause: it walked none of them; a pause between the look at the lease and the answer's passing on stood under what it doesn't cover.

Change: three events with invariants (e) what one said to be in force isn't passed on while another serves, (f) a copy beside the view's disks has only what was in force, (g) those that are left after leaving can agree, and one has the data. It drives the store's own answers.left, leaving.may_end and Learner. Five mutants. It found that a member that had just started could write an older version over its third copy; mended in learner.py.

--- a/loomstand/model_checker/__main__.py
+++ b/loomstand/model_checker/__main__.py
@@ -27,6 +27,11 @@
     )
     parser.add_argument("--yields", type=int, default=0, help="primaries that leave")
     parser.add_argument("--rescues", type=int, default=0, help="by operators; old disks come back then")
+    parser.add_argument("--reads", type=int, default=0, help="answers that are passed on some time later")
+    parser.add_argument("--leavers", default="", help="who may be told to stop, as ab, for good")
+    parser.add_argument("--takers", default="abcd", help="members that may stand or change their view")
+    parser.add_argument("--changes", type=int, help="of the voters' set: 0, or with four members 1")
+    parser.add_argument("--learners", action="store_true", help="third copies are written")
     parser.add_argument("--founding", action="store_true", help="from empty disks on")
     parser.add_argument("--halves", action="store_true", help="time goes by half a lease, not a whole one")
     parser.add_argument("--mutate", choices=sorted(MUTANTS), help="a step left out, to be found")
@@ -41,7 +46,11 @@
         kinds=frozenset(asked.kinds.split(",")),
         wipes=asked.wipes,
         halves=asked.halves,
-        changes=int(asked.members == 4),
+        changes=int(asked.members == 4) if asked.changes is None else asked.changes,
+        takers=asked.takers,
+        reads=asked.reads,
+        leavers=asked.leavers,
+        learners=asked.learners,
         yields=asked.yields,
         rescues=asked.rescues,
     )
--- a/loomstand/model_checker/member.py
+++ b/loomstand/model_checker/member.py
@@ -16,12 +16,14 @@
 import cbor2
 
 from loomstand.shared.verdict import Refused
-from loomstand.store import rescue
+from loomstand.store import answers, leaving, rescue
 from loomstand.store.ballot import Ballot, Held
+from loomstand.store.learner import Learner
 from loomstand.store.replica import HOLD, LEASE, Peer, Plan, Replica, State, Step
 from loomstand.store.rescue import Case, Rescue
 from loomstand.store.views import Member, Record, View
 
+GRACE = 6.0  # s, of which none has passed: the end of a member's patience isn't walked
 TICK = HOLD / 2  # s: a grant stands after one of them and has run out after two, for both of its ends
 LONG = -1e9  # s: any moment whose distance no longer matters
 FILL = {"state": 0, "founder": False, "epoch": 0, "seen": 0, "promised": 0, "version": 0, "known": []}
@@ -73,15 +75,16 @@
     data: bytes = b""
     pen: tuple[Record, tuple[Any, ...]] | None = None
     work: Work | None = None
+    copy: Held = (0, b"")  # on its disk, as learner.py has it
 
 
 Event = tuple[Any, ...]
 Mark = tuple[Any, ...]  # ("force", version, data) as a primary commits; ("broken", why)
 
 
-def waking(index: int, record: Record) -> Cell:
+def waking(index: int, record: Record, copy: Held = (0, b"")) -> Cell:
     """A member at its start, with that disk."""
-    return Cell(index, record, 0.0, record.promised, "", record.view)
+    return Cell(index, record, 0.0, record.promised, "", record.view, copy=copy)
 
 
 @cache
@@ -105,6 +108,9 @@
     replica: type[Replica] = Replica
     ballot: type[Ballot] = Ballot
     rescue: type[Rescue] = Rescue
+    learner: type[Learner] = Learner
+    passes: Callable[..., float] = answers.left  # whether what was read may still be passed on
+    may_end: Callable[..., bool] = leaving.may_end  # whether a member that was told to stop ends
     hasty: bool = False  # commits before the backup wrote
     same_id: bool = False  # a wiped disk comes back under the old id
 
@@ -124,7 +130,7 @@
         for m in seeds:  # as a founder knows the others
             if m != me:
                 t.peers[m.address] = Peer(m.id, answered=0.0, founder=True)  # so it may ask for its lease
-        self.replica, self.pen, self.work = t, cell.pen, cell.work
+        self.replica, self.pen, self.work, self.copy = t, cell.pen, cell.work, cell.copy
         self.out: list[Message] = []
         self.marks: list[Mark] = []
 
@@ -144,7 +150,7 @@
         return Cell(
             self.cell.index, t.record, self.cell.started, t.promised, t.promised_to, t.seen,
             t.holder if stands else "", t.hold if stands else LONG, granted, t.settled, t.reign,
-            t.version, t.data, self.pen, self.work,
+            t.version, t.data, self.pen, self.work, self.copy,
         )  # fmt: skip
 
     def commit(self, version: int, data: bytes) -> None:
@@ -440,6 +446,25 @@
         """News of what is in force, however late."""
         self.replica.commit(version, data)
 
+    def learn(self) -> None:
+        """What is in force goes to its disk too, though it's neither the primary's nor the backup's."""
+        held = self.rules.learner(self.copy).due(self.replica)
+        if held is None or self.pen is not None:
+            raise Refused("nothing to write")
+        self.copy = held
+        self.marks.append(("copied", *held))
+
+    def ends(self, there: tuple[Member, ...]) -> None:
+        """It was told to stop, and may; `there` are all that answer and stay."""
+        t = self.replica
+        t.state, t.peers, t.heard = State.LEAVING, {}, {}
+        for m in there:
+            t.peers[m.address] = Peer(m.id, answered=0.0)
+            t.heard[m.id] = 0.0
+        if not self.rules.may_end(t, 0.0, 0.0, GRACE):
+            raise Refused("it is needed")
+        t.state = State.FIT
+
     def hand_over(self) -> None:
         t, view, epoch = self.replica, self.replica.record.view, self.replica.promised + 1
         assert view is not None and view.backup is not None
--- a/loomstand/model_checker/mutants.py
+++ b/loomstand/model_checker/mutants.py
@@ -9,7 +9,8 @@
 from loomstand.model_checker.member import Rules
 from loomstand.model_checker.state_space import Bounds
 from loomstand.shared.verdict import Refused
-from loomstand.store.ballot import Ballot
+from loomstand.store.ballot import Ballot, Held
+from loomstand.store.learner import Learner
 from loomstand.store.replica import Replica
 from loomstand.store.rescue import Rescue
 from loomstand.store.views import Member, Record, View
@@ -122,6 +123,33 @@
         return []
 
 
+class FreesEarly(Replica):
+    """Goes though its vote is needed, or one that has no vote yet could take its place."""
+
+    def free(self, now: float) -> bool:
+        if self.seen is None or self.me.id not in self.seen.named():
+            return True
+        stand_by = [m for m in self.live(now) if m.id not in self.seen.named()]
+        return not stand_by and not self.seen.holds(self.me.id)
+
+
+class CopiesAll(Learner):
+    """Copies what is on its disk, in force or not."""
+
+    def due(self, replica: Replica) -> Held | None:
+        held = (replica.record.version, replica.record.data)
+        return held if held[0] > self.copy[0] else None
+
+
+def passes_always(answer: dict[str, Any], asked: float, now: float, within: float) -> float:
+    """Passes on what was read, however long ago it asked."""
+    return within
+
+
+def ends_at_once(replica: Replica, now: float, since: float, grace_period: float) -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Mutant:
     rules: Rules
@@ -144,6 +172,11 @@
 
 
 RESCUE = brief("restart", epochs=1, faults=2, wipes=2, rescues=1)
+# one is read, and cut off; one that was told to stop ends for good beside a lost disk; two end at once
+READ = brief("cut", takers="b", halves=True, versions=0, reads=1)
+LEAVE = brief(wipes=1, epochs=4, changes=1, leavers="b", takers="c", versions=0)
+TWO_LEAVE = brief(members=4, faults=0, epochs=4, changes=1, leavers="ab", takers="c", versions=0)
+LEARN = brief("restart", "lost", wipes=1, takers="c", learners=True)
 MUTANTS = {
     "keeps-old": Mutant(Rules(KeepsOld), brief("late", epochs=3, takers="bc"), "ac"),
     "keeps-earlier": Mutant(Rules(KeepsEarlier), brief("late", takers="b"), "ac"),
@@ -168,5 +201,10 @@
     "unfenced": Mutant(Rules(Unfenced), RESCUE, "ab"),
     "goes-on": Mutant(Rules(ballot=GoesOn), replace(RESCUE, members=4, versions=0), "b"),
     "any-backup": Mutant(Rules(rescue=AnyBackup), RESCUE, "b"),
+    "passes-always": Mutant(Rules(passes=passes_always), READ, "e"),
+    "ends-at-once": Mutant(Rules(may_end=ends_at_once), LEAVE, "g"),
+    "frees-early": Mutant(Rules(FreesEarly), LEAVE, "g"),
+    "two-free-early": Mutant(Rules(FreesEarly), TWO_LEAVE, "g"),
+    "copies-all": Mutant(Rules(learner=CopiesAll), LEARN, "f"),
     "hasty": Mutant(Rules(hasty=True), brief("lost", takers="bc"), "a"),
 }
--- a/loomstand/model_checker/state_space.py
+++ b/loomstand/model_checker/state_space.py
@@ -22,6 +22,7 @@
     waking,
 )
 from loomstand.shared.verdict import Refused
+from loomstand.store.answers import LEFT
 from loomstand.store.replica import Plan, Step
 from loomstand.store.rescue import case, told
 from loomstand.store.views import MARGIN, Member, Record, View, newest
@@ -50,6 +51,9 @@
     changes: int = 0  # of the voters' set
     yields: int = 1  # leaving primaries
     rescues: int = 0  # by operators, where a majority is lost; the old disks come back then
+    reads: int = 0  # what a primary says to be in force, and is passed on some time later
+    leavers: str = ""  # who may be told to stop, to end for good with its disk
+    learners: bool = False  # whether copies beside the view's are written
 
 
 class Left(NamedTuple):
@@ -60,6 +64,15 @@
     changes: int
     yields: int
     rescues: int
+    reads: int
+
+
+class Read(NamedTuple):
+    """An answer that isn't passed on yet; `asked` as the one who passes it on counts, at the latest."""
+
+    by: int
+    asked: float
+    left: float
 
 
 class Plain(NamedTuple):
@@ -73,6 +86,9 @@
     left: Left
     away: int = -1  # who is cut off
     aside: tuple[tuple[int, Record], ...] = ()  # lost disks that may come back after a rescue
+    reads: tuple[Read, ...] = ()
+    going: tuple[int, ...] = ()  # who was told to stop
+    gone: tuple[int, ...] = ()  # and has ended for good
 
 
 class Broken(Exception):
@@ -92,8 +108,8 @@
     numbers: dict[Cell | Message, int] = field(default_factory=dict)
     # every step of one member is worked out once: few cells make up all the states
     known: dict[tuple[int, Event], Outcome | None] = field(default_factory=dict)
-    facts: list[tuple[bool, int, tuple[View, ...]]] = field(default_factory=list)
-    own: dict[tuple[int, tuple[Member, ...]], list[Event]] = field(default_factory=dict)
+    facts: list[tuple[float, int, tuple[View, ...]]] = field(default_factory=list)
+    own: dict[tuple[int, tuple[Member, ...], tuple[Member, ...]], list[Event]] = field(default_factory=dict)
     older: dict[int, int] = field(default_factory=dict)
     dull: dict[tuple[int, int], bool] = field(default_factory=dict)
 
@@ -106,7 +122,7 @@
             self.cells.append(cell)
             t = Plot(self.rules, self.seeds(), cell).replica
             views = {v for v in (cell.record.view, cell.seen) if v is not None}
-            self.facts.append((t.lease_left(0.0) > 0.0, cell.version, tuple(views)))
+            self.facts.append((t.lease_left(0.0), cell.version, tuple(views)))
         return found
 
     def message(self, message: Message) -> int:
@@ -131,7 +147,7 @@
                 cell = aged(aged(cell))
                 cell = cell._replace(seen=view, settled=int(i == 0), reign=i == 0)
             cells.append(self.cell(cell))
-        left = Left(b.faults, b.wipes, b.changes, b.yields, b.rescues)
+        left = Left(b.faults, b.wipes, b.changes, b.yields, b.rescues, b.reads)
         none = (None,) * b.versions
         return Plain(tuple(cells), (), (), none, (0,) * b.versions, left)
 
@@ -157,15 +173,17 @@
                 self.known[key] = (self.cell(plot.frozen()), out, tuple(plot.marks))
         return self.known[key]
 
-    def events(self, number: int, members: tuple[Member, ...]) -> list[Event]:
-        """What a member may do of itself, by its own code's leave; the epoch is any that it may choose."""
-        key = (number, members)
+    def events(self, number: int, members: tuple[Member, ...], stay: tuple[Member, ...]) -> list[Event]:
+        """What a member may do of itself, by its own code's leave; the epoch is any that it may choose.
+
+        `stay`: those of `members` that weren't told to stop."""
+        key = (number, members, stay)
         if key in self.own:
             return self.own[key]
         cell, found = self.cells[number], list[Event]()
         me, view, work = members[cell.index], cell.record.view, cell.work
         if cell.pen is None:
-            plans = Plot(self.rules, self.seeds(), cell).plans(members)
+            plans = Plot(self.rules, self.seeds(), cell).plans(stay)
             if work and work.stage == "put" and "own" in work.ids and view is not None:
                 plans.append(self.moved(view))
             for plan in plans:
@@ -178,7 +196,7 @@
                     epochs = range(cell.promised + 1, most + 1)
                     found += [("start", plan, e) for e in epochs]
         if work and work.stage == "backup":
-            found += [("backup", m) for m in members if m != me and m not in work.asked]
+            found += [("backup", m) for m in stay if m != me and m not in work.asked]
         if work and work.stage == "fetch":
             found.append(("fetch",))
         if view is not None and view.primary.id == me.id:
@@ -247,10 +265,13 @@
                 fewer = self._fault(state)
                 yield from self._take(fewer, at, ("deliver", number))
         members = self.members(state)
+        stay = tuple(m for i, m in enumerate(members) if i not in state.going)  # who may take a place
         for i, number in enumerate(state.cells):
+            if i in state.gone:
+                continue
             if self.cells[number].pen is not None:
                 yield from self._take(state, i, ("write",))
-            for event in self.events(number, members):
+            for event in self.events(number, members, stay):
                 after = self._allowed(state, event)
                 if after is not None:
                     yield from self._take(after, i, event)
@@ -263,6 +284,13 @@
                 data = state.force[v - 1]
                 if data is not None:
                     yield from self._take(state, i, ("commit_news", v, data))
+            if self.bounds.learners:
+                yield from self._take(state, i, ("learn",))
+            if left.reads and self.facts[number][0] > 0.0:
+                fewer = state._replace(left=left._replace(reads=left.reads - 1))
+                read = Read(i, 0.0, self.facts[number][0])
+                yield ("{} is read", (members[i].id,)), fewer._replace(reads=(*state.reads, read))
+            yield from self._leaves(state, i, stay)
         if state.away >= 0:
             yield ("the cut is mended", ()), state._replace(away=-1)
         yield from self._rescued(state)
@@ -320,26 +348,46 @@
         if not left.faults:
             return
         if (
-            "restart" in self.bounds.kinds and waking(i, cell.record)._replace(started=cell.started) != cell
+            "restart" in self.bounds.kinds
+            and waking(i, cell.record, cell.copy)._replace(started=cell.started) != cell
         ):  # it loses something by it
             disks = {cell.record: "is killed and starts"}
             if cell.pen is not None:
                 disks.setdefault(cell.pen[0], "is killed and starts, its last write done")
             for record, words in disks.items():
                 yield from self._restart(self._fault(state), i, record, words)
-        if left.wipes:
+        if left.wipes and not (state.gone and self._missed(state)):
             id = cell.record.id if self.rules.same_id else cell.record.id + "'"
             fewer = left._replace(wipes=left.wipes - 1, faults=left.faults - 1)
             aside = ((i, cell.record),) if left.rescues else ()
             lost = state._replace(left=fewer, aside=state.aside + aside)
-            yield from self._restart(lost, i, Record(id, False), "has lost its disk and starts")
+            yield from self._restart(lost, i, Record(id, False), "has lost its disk and starts", True)
+
+    def _leaves(self, state: Plain, i: int, stay: tuple[Member, ...]) -> Iterator[tuple[Label, Plain]]:
+        """It is told to stop; or ends, once its own code lets it, with all in reach answering."""
+        if "abcd"[i] not in self.bounds.leavers:
+            return
+        if i not in state.going:
+            if len(state.going) < 2:
+                yield ("{} is told to stop", (self.cells[state.cells[i]].record.id,)), state._replace(
+                    going=tuple(sorted((*state.going, i)))
+                )
+            return
+        cut = state.away if state.away != i else -1
+        there = tuple(m for m in stay if m.address != address(cut)) if state.away != i else ()
+        if self.step(state.cells[i], ("ends", there)) is None:
+            return
+        gone = tuple(sorted((*state.gone, i)))
+        yield ("{} ends, its disk with it", (self.cells[state.cells[i]].record.id,)), self._tidy(
+            state._replace(gone=gone)
+        )
 
     def _rescued(self, state: Plain) -> Iterator[tuple[Label, Plain]]:
         """Operators' word, where the code's own judgement lets them; later what they gave up comes back."""
         if not state.left.rescues:
             for k, (i, record) in enumerate(state.aside):
                 rest = state._replace(aside=(*state.aside[:k], *state.aside[k + 1 :]))
-                yield from self._restart(rest, i, record, "is back with its old disk")
+                yield from self._restart(rest, i, record, "is back with its old disk", True)
             return
         tenures = [Plot(self.rules, self.seeds(), self.cells[c]).replica for c in state.cells]
         found = case((told(t, 0.0, (0, b"")) for t in tenures), (), [m.address for m in self.seeds()])
@@ -352,7 +400,9 @@
         i = next(i for i, t in enumerate(tenures) if t.me == chosen.member)
         yield from self._take(after, i, ("rescue", found, MARGIN))
 
-    def _restart(self, state: Plain, i: int, record: Record, words: str) -> Iterator[tuple[Label, Plain]]:
+    def _restart(
+        self, state: Plain, i: int, record: Record, words: str, empty: bool = False
+    ) -> Iterator[tuple[Label, Plain]]:
         """Who wakes hears no answers to what it asked before, also not to what is still being written."""
         cells, late = list(state.cells), list[int]()
         for k, number in enumerate(cells):
@@ -360,7 +410,8 @@
                 case (written, (kind, Message() as call, *body)) if call.by == i:
                     then = (kind, call._replace(heeded=False), *body)
                     cells[k] = self.cell(self.cells[number]._replace(pen=(written, then)))
-        cells[i] = self.cell(waking(i, record))
+        copy = (0, b"") if empty else self.cells[state.cells[i]].copy
+        cells[i] = self.cell(waking(i, record, copy))
         for number in state.late:
             m = self.messages[number]
             if m.heeded and (m.at if m.answer else m.by) == i:
@@ -401,8 +452,11 @@
         for mark in marks:
             if mark[0] == "broken":
                 raise Broken(mark[1])
-            _, version, data = mark
-            if version:
+            kind, version, data = mark
+            if kind == "copied":
+                if force[version - 1] != data:
+                    raise Broken("(f) a copy has what was never in force")
+            elif version:
                 if force[version - 1] not in (None, data):
                     raise Broken(f"(c) version {version} has two contents in force")
                 force = (*force[: version - 1], data, *force[version:])
@@ -413,6 +467,10 @@
     def _tidy(self, state: Plain) -> Plain:
         if not state.fresh and not state.late:
             return state
+        if state.gone:
+            fresh = tuple(n for n in state.fresh if self.messages[n].at not in state.gone)
+            late = tuple(n for n in state.late if self.messages[n].at not in state.gone)
+            state = state._replace(fresh=fresh, late=late)
         cells, messages, dull = state.cells, self.messages, self.is_dull
         fresh = tuple(n for n in state.fresh if not dull(cells[messages[n].at], n))
         late = tuple(n for n in state.late if not dull(cells[messages[n].at], n))
@@ -429,7 +487,12 @@
             if c not in self.older:
                 self.older[c] = self.cell(aged(self.cells[c]))
             cells.append(self.older[c])
-        return self._tidy(state._replace(cells=tuple(cells), late=tuple(sorted({*late}))))
+        reads = tuple(r for r in (r._replace(asked=r.asked - TICK) for r in state.reads) if self._passes(r))
+        return self._tidy(state._replace(cells=tuple(cells), late=tuple(sorted({*late})), reads=reads))
+
+    def _passes(self, read: Read) -> bool:
+        """Whether that may be passed on now, however long its asker waited."""
+        return read.asked > -4 * TICK and self.rules.passes({LEFT: read.left}, read.asked, 0.0, 1e9) > 0.0
 
     # --- what must hold
 
@@ -443,16 +506,24 @@
             put in force never has a second content (looked at as marks are taken in).
         (d) No disk answers in the name of another one, nor under the id of one that was lost (looked at in
             Plot.reply; a new disk under the old id is found here).
+        (e) What was read of one member isn't passed on while another one serves.
+        (f) A copy beside the view's disks has only what was in force (looked at as marks are taken in).
+        (g) Once members were told to stop, those that are left can agree on a view, and one has its data.
         """
         facts = [self.facts[c] for c in state.cells]
-        serving = [f for f in facts if f[0]]
+        for read in state.reads:
+            if any(f[0] > 0.0 and i != read.by for i, f in enumerate(facts)) and self._passes(read):
+                raise Broken("(e) what one said to be in force is passed on while another serves")
+        if state.going:
+            self._check_left(state)
+        serving = [f for i, f in enumerate(facts) if f[0] > 0.0 and i not in state.gone]
         if len(serving) > 1:
             raise Broken("(b) two members serve")
         newest = max((v + 1 for v, data in enumerate(state.force) if data is not None), default=0)
         if serving and serving[0][1] < newest:
             raise Broken(f"(a) version {newest} was in force and is lost")
         views: dict[int, View] = {}
-        for _, _, known in facts:
+        for known in (f[2] for f in facts):
             for view in known:
                 if views.setdefault(view.epoch, view) != view:
                     raise Broken(f"(b) two views of epoch {view.epoch}")
@@ -461,6 +532,24 @@
             if not record.founder and record.id in "abc":
                 raise Broken(f"(d) a disk that is new votes as {record.id}")
 
+    def _left(self, state: Plain) -> tuple[View | None, list[str]]:
+        """The newest view that those know who didn't end, and their disks."""
+        cells = [self.cells[c] for i, c in enumerate(state.cells) if i not in state.gone]
+        return newest(*(v for c in cells for v in (c.record.view, c.seen))), [c.record.id for c in cells]
+
+    def _missed(self, state: Plain) -> bool:
+        """Whether a member that ended has a place yet: it counts as the one loss that is borne till then."""
+        view, _ = self._left(state)
+        names = view.named() if view else {}
+        return any(self.cells[state.cells[i]].record.id in names for i in state.gone)
+
+    def _check_left(self, state: Plain) -> None:
+        view, ids = self._left(state)
+        if view is not None and not view.agreed(ids):
+            raise Broken("(g) those that are left can't agree any more")
+        if view is not None and not any(view.holds(id) for id in ids):
+            raise Broken("(g) nobody that is left has the data")
+
     # --- words for a trace
 
     def words(self, step: Label) -> str:
--- a/loomstand/store/learner.py
+++ b/loomstand/store/learner.py
@@ -41,8 +41,8 @@
     def due(self, replica: Replica) -> Held | None:
         """What to write now: the newest known to be in force, unless it's on this disk already."""
         held, record, view = (replica.version, replica.data), replica.record, replica.base()
-        if not replica.informed or held in (self.copy, (record.version, record.data)):
-            return None
+        if replica.version <= self.copy[0] or held == (record.version, record.data):
+            return None  # after a start others may tell it of older ones first
         if view is not None and view.holds(replica.me.id):
             return None  # its disk is for the next change, which may be on its way
         return held
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -272,6 +272,9 @@
     assert learner.due(replica) == (8, b"eight")
     again = Learner.wake(learner.page((8, b"eight")))
     assert again.copy == (8, b"eight") and again.due(replica) is None
+    started = member(C)
+    started.commit(6, b"six")  # others may tell of older ones first
+    assert again.due(started) is None
     for broken in ({}, {PAGE: b"\xff"}, {PAGE: cbor2.dumps(3)}, {PAGE: cbor2.dumps(["x", 1])}):
         assert Learner.wake(broken) == Learner()
     for holder in (A, B):
--- a/tests/test_model_checker.py
+++ b/tests/test_model_checker.py
@@ -11,7 +11,7 @@
 
 from loomstand.model_checker.__main__ import main
 from loomstand.model_checker.member import Rules
-from loomstand.model_checker.mutants import MUTANTS, RESCUE, brief
+from loomstand.model_checker.mutants import LEARN, LEAVE, MUTANTS, READ, RESCUE, TWO_LEAVE, brief
 from loomstand.model_checker.search import survey
 from loomstand.model_checker.state_space import Bounds, Broken, StateSpace
 
@@ -28,6 +28,16 @@
     assert found.states > 10_000 and found.depth > 30
 
 
+@pytest.mark.parametrize(
+    "bounds, states", [(READ, 2000), (LEAVE, 20_000), (TWO_LEAVE, 40_000), (LEARN, 10_000)],
+    ids=["a read after a cut", "one leaves beside a lost disk", "two leave at once", "third copies"],
+)  # fmt: skip
+def test_all_runs_with_reads_leaving_and_third_copies_hold(bounds, states):
+    found = survey(StateSpace(Rules(), bounds), seconds=60.0)
+    assert found.whole and not found.broken
+    assert found.states > states
+
+
 @pytest.mark.parametrize("name", [n for n, m in MUTANTS.items() if m.brief])
 def test_a_step_left_out_is_found(name):
     mutant = MUTANTS[name]
