Tests: a proxy that starts on the cut-off side is in no haste to serve what it got there

Change: a proxy that reaches one registry alone, itself cut off, becomes ready 3 to 4 s after its start with what it got there (its machine isn't in touch), and has the newest within 2 s of the cut's end; the mutant, a registry that is always sure, makes it ready within 1 s.

--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -205,6 +205,43 @@
     plane.do(twenty())
 
 
+def started_behind_a_cut() -> tuple[float, int, int, float]:
+    """A proxy starts where it reaches one registry alone, which is cut off, as others acknowledge a change:
+    s until it is ready, its version then, the newest by then, and s after the cut until it has that."""
+    town = Cluster(5, proxies=2, servers=2)
+    town.do(town.begin())
+    ip = next(iter(town.proxies))
+    alone = next(c for c in town.core_ips if not town.serves(c))
+
+    async def story() -> tuple[float, int, int, float]:
+        rest = [c for c in town.core_ips if c != alone]
+        town.sky.apart([alone], rest)
+        town.sky.apart([ip], rest)
+        town.operator.cores = [(c, CONTROL) for c in rest]
+        await asyncio.sleep(2.0)
+        town.route("new", "alpha")
+        assert await town.replace()
+        town.proxies[ip].kill()
+        town.proxies[ip].start()
+        ready = await town.until(lambda: bool(town.proxies[ip].programs) and town.proxy(ip).able, 6.0)
+        held = town.proxy(ip).table.version
+        town.sky.mend()
+        back = await town.until(lambda: town.proxy(ip).table.version == town.version, 3.0)
+        return ready, held, town.version, back
+
+    found = town.do(story())
+    town.close()
+    return found
+
+
+def test_a_proxy_that_starts_on_the_cut_off_side_is_in_no_haste_to_serve_what_it_got_there(monkeypatch):
+    ready, held, newest, back = started_behind_a_cut()
+    assert 3.0 <= ready <= 4.1 and held < newest and back < 2.0
+    monkeypatch.setattr(program.Registry, "sure", property(lambda self: True))
+    ready, held, newest, _ = started_behind_a_cut()
+    assert ready < 1.0 and held < newest
+
+
 # --- at every step of an order
 
 
