--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -10,7 +10,7 @@
 from test_rescue import rescue
 from test_store import HOSTS, VIEW, A, B, C, World, member
 
-from loomstand.simulation.machine import Machine
+from loomstand.simulation.machine import Machine, machines
 from loomstand.store import leaving
 from loomstand.store.learner import PAGE, Learner
 from loomstand.store.replica import Replica, State
@@ -27,6 +27,10 @@
         self.few: dict[tuple[str, int], float] = {}
         self.counting = False
 
+    def whom(self, words: str) -> Machine:
+        view = self.primary().programs[0].replica.record.view
+        return self.machines[{"the primary": view.primary, "the backup": view.backup}[words].address[0]]
+
     def copies(self) -> tuple[int, int]:
         views = [s.replica.base() for _, s in self.stores()]
         view = max((v for v in views if v), key=lambda v: v.epoch, default=None)
@@ -120,6 +124,21 @@
     await asyncio.sleep(3.0)
 
 
+async def exchanged(world: Copies) -> None:
+    """A new machine comes for each old one, which then leaves and takes its disk with it."""
+    old = [*world.machines]
+    new = [f"10.{host.split('.')[1]}.0.2" for host in old]
+    fresh = machines(world.sky, world.rng, new, lambda h: [world.maker(h)])
+    for gone, come in zip(old, new, strict=True):
+        world.seeds = [come, *[h for h in old if world.machines[h].up][:2]]
+        world.machines[come] = fresh[come]
+        fresh[come].start()
+        await asyncio.sleep(1.0)
+        await world.machines[gone].leave()
+        world.machines[gone].platter.wipe()
+        await asyncio.sleep(3.0)
+
+
 # s at the most with fewer than three and two synced copies, and with fewer than two that elections go by
 STEPS = {
     "the backup is wiped": (lambda w: wiped(w, "the backup"), 0.1, 0.0, 1.3),
@@ -127,6 +146,7 @@
     "the backup is killed": (lambda w: killed(w, "the backup"), 0.1, 0.0, 0.1),
     "the primary is killed": (lambda w: killed(w, "the primary"), 0.1, 0.0, 0.1),
     "a roll": (rolled, 0.1, 0.0, 0.1),
+    "an exchange of all": (exchanged, 0.5, 0.0, 0.1),
     "backup and primary are removed": (removed, 6.0, 0.0, 0.1),
     "primary and backup leave at once": (two_leave, 6.0, 0.0, 0.1),
 }
@@ -152,8 +172,7 @@
 async def last_copy_leaves(world: Copies, after: float, away: float) -> None:
     """The primary's disk is lost `after` s after the backup was told to stop, right after an acknowledgement;
     the backup takes its disk with it. The other machine is back with an empty one after `away` s."""
-    view = world.primary().programs[0].replica.record.view
-    first, backup = (world.machines[m.address[0]] for m in (view.primary, view.backup))
+    first, backup = world.whom("the primary"), world.whom("the backup")
     leaving_ = world.loop.create_task(backup.leave()) if after >= 0.0 else None
     await asyncio.sleep(max(0.0, after))
     assert after > 0.0 or await world.put_within(0.5)
