Store: a configuration over 4 MB gets no third copy

Cause: the disk's map is 32 MB; configuration and copy of 10 MB each, written anew, would fill it, and a refused write marks the member's disk as in trouble.

Change: a limit in learner.py.

Measured: a route of the page's form is 269 bytes, so 4 MB are fifteen thousand routes.

--- a/loomstand/store/learner.py
+++ b/loomstand/store/learner.py
@@ -21,6 +21,9 @@
 from loomstand.store.replica import Replica
 
 PAGE = "copy"
+# bytes of a larger one, which isn't copied: the disk's 32 MB hold the configuration, the copy, and each once
+# more while it's written anew. Ten thousand routes take 2.7 MB.
+MOST = 4 << 20
 
 
 @dataclass(slots=True)
@@ -43,6 +46,8 @@
         held, record, view = (replica.version, replica.data), replica.record, replica.base()
         if replica.version <= self.copy[0] or held == (record.version, record.data):
             return None  # after a start others may tell it of older ones first
+        if len(replica.data) > MOST:
+            return None
         if view is not None and view.holds(replica.me.id):
             return None  # its disk is for the next change, which may be on its way
         return held
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -12,7 +12,7 @@
 
 from loomstand.simulation.machine import Machine, machines
 from loomstand.store import leaving
-from loomstand.store.learner import PAGE, Learner
+from loomstand.store.learner import MOST, PAGE, Learner
 from loomstand.store.replica import Replica, State
 from loomstand.store.views import Record
 
@@ -293,6 +293,8 @@
     assert learner.due(replica) == (8, b"eight")
     again = Learner.wake(learner.page((8, b"eight")))
     assert again.copy == (8, b"eight") and again.due(replica) is None
+    replica.commit(9, bytes(MOST + 1))
+    assert learner.due(replica) is None
     started = member(C)
     started.commit(6, b"six")  # others may tell of older ones first
     assert again.due(started) is None
