--- a/loomstand/store/program.py
+++ b/loomstand/store/program.py
@@ -304,12 +304,11 @@
         Of stores: beat, promise, keep, fetch, install, lead, news, held. Of anybody: put and offer
         {version, data} -> {version: the one in force, conflict: True if the number stands for another content
         and this one is refused for good}; read {} -> {version, data, left: see answers.py}; status {} and
-        wait {have: version, mark: of the last answer, within: seconds} -> {version, mark, epoch, primary: [host,
-        port] or None, cores: [[host, port]], ready, duty: [epoch, number, host] or None} and, from wait, data
-        if there is a newer version than `have`; duty {host, life} -> {span: seconds from the sending, duty}
-        while this one serves and that registry may count, duty {host, life, back: True} -> {}; rescue as
-        `RescueCalls.serve` says, and told {} -> a `Told`.
-        """
+        wait {have: version, mark: of the last answer, within: seconds} -> {version, mark, epoch, primary:
+        [host, port] or None, cores: [[host, port]], ready, duty: [epoch, number, host] or None} and, from
+        wait, data if there is a newer version than `have`; duty {host, life} -> {span: seconds from the
+        sending, duty} while this one serves and that registry may count, duty {host, life, back: True} ->
+        {}; rescue as `RescueCalls.serve` says, and told {} -> a `Told`."""
         replica = self.replica
         if "to" in body:
             replica.mine(body["to"])
