--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -8,7 +8,9 @@
 import subprocess
 import sys
 import time
+from contextlib import nullcontext
 from pathlib import Path
+from types import SimpleNamespace
 
 import faulty
 import hypothesis  # noqa: F401  (imported by its plugin after these tests, it failed to compile on 3.11)
@@ -20,7 +22,7 @@
 from loomstand.lab.scenario import ScenarioError, from_table
 from loomstand.rehearse import report, scenario, servers
 from loomstand.rehearse.scenario import Rehearsal
-from loomstand.rehearse.stage import LIMITER, StageError, alive, pids, stage
+from loomstand.rehearse.stage import LIMITER, Proc, Stage, StageError, alive, pids, stage
 from loomstand.rehearse.wire import free_port, own_host
 
 HERE = Path(__file__).parent
@@ -131,6 +133,16 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_limiter_that_ends_before_it_is_ready_is_a_fault_only_where_nobody_asked_for_it(planned, tmp_path):
+    """On a busy machine the timeline's kill came before the limiter was ready, and ended the rehearsal."""
+    held = Stage(small(), 1, tmp_path)
+    life = SimpleNamespace(returncode=-signal.SIGKILL)
+    held.procs["l0"] = Proc("l0", ["l0"], lambda: None, life, planned)
+    with nullcontext() if planned else pytest.raises(StageError, match="l0 ended before it was ready"):
+        asyncio.run(held.ready(0, 5.0))
+
+
 @pytest.mark.parametrize("child", ["counter", "links"])
 def test_the_death_of_a_child_ends_all(child, tmp_path):
     async def run():
