--- a/tests/test_ci.py
+++ b/tests/test_ci.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import subprocess
 import sys
 from itertools import pairwise
@@ -89,6 +90,15 @@
     assert {name for name in ALONE if (HERE / name).exists()} >= ALONE - {"test_scale_run.py"}
 
 
+def test_every_file_whose_tests_use_sockets_or_processes_runs_alone():
+    """But those that start a program and wait for its end, however long that takes."""
+    real = re.compile(
+        r"\b(Popen|start_server|create_server|ThreadingHTTPServer|StandIn|Site)\(|from test_rehearse import"
+    )
+    found = {path.name for path in HERE.glob("test_*.py") if real.search(path.read_text())}
+    assert found <= ALONE and "test_net.py" in found and "test_ctl.py" in found
+
+
 LOGGED = """
 import os, time, pathlib, pytest
 @pytest.mark.parametrize("n", range(%d))
