--- a/tests/test_ci.py
+++ b/tests/test_ci.py
@@ -95,7 +95,8 @@
     real = re.compile(
         r"\b(Popen|start_server|create_server|ThreadingHTTPServer|StandIn|Site)\(|from test_rehearse import"
     )
-    found = {path.name for path in HERE.glob("test_*.py") if real.search(path.read_text())}
+    others = [path for path in HERE.glob("test_*.py") if path != Path(__file__)]  # it names them itself
+    found = {path.name for path in others if real.search(path.read_text())}
     assert found <= ALONE and "test_net.py" in found and "test_ctl.py" in found
 
 
