--- a/tests/alone.py
+++ b/tests/alone.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 
 ALONE = {  # files whose tests open sockets or start processes that must keep up with real time
@@ -36,14 +38,20 @@
             others = [work for other, work in self.assigned_work.items() if other is not node]
             if list(self.workqueue) == [SCOPE] and any(self._pending_of(work) for work in others):
                 return  # once more when one of them has ended a test
-            super()._assign_work_unit(node)
+            with contextlib.suppress(OSError):  # it has just died: `remove_node` follows
+                super()._assign_work_unit(node)
 
         def _reschedule(self, node) -> None:
-            if list(self.workqueue) == [SCOPE] and node is not self.last():
-                if not node.shutting_down:
-                    node.shutdown()
-                return
-            super()._reschedule(node)
+            if node.shutting_down or node not in self.registered_collections:
+                return  # the latter in place of one that died; once more when it has collected the tests
+            while self.workqueue and list(self.workqueue) != [SCOPE]:
+                if self._pending_of(self.assigned_work[node]) > 2:
+                    return
+                self._assign_work_unit(node)  # more than one: a worker keeps its last until it has another
+            if self.workqueue and node is self.last():
+                self._assign_work_unit(node)
+            else:
+                node.shutdown()
 
         def mark_test_complete(self, node, item_index: int, duration: float = 0) -> None:
             super().mark_test_complete(node, item_index, duration)
@@ -51,4 +59,10 @@
             if list(self.workqueue) == [SCOPE] and last not in (None, node):
                 self._reschedule(last)
 
+        def remove_node(self, node) -> str | None:
+            """The test during which a worker died, if any. With `--max-worker-restart 0` that ends the run,
+            so nothing is given on; the base class gives on what was done as well, whose end never comes."""
+            units = self.assigned_work.pop(node)
+            return next((test for unit in units.values() for test, done in unit.items() if not done), None)
+
     return Scheduling(config, log)
--- a/tests/test_ci.py
+++ b/tests/test_ci.py
@@ -36,7 +36,7 @@
         (place / "red.txt").write_text(red)
         more = ("--known-red", "red.txt", *more)
     command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "-p", "no:hypothesispytest"]
-    went = subprocess.run([*command, *more], cwd=place, capture_output=True, text=True)
+    went = subprocess.run([*command, *more], cwd=place, capture_output=True, text=True, timeout=60)
     return went.returncode, went.stdout + went.stderr
 
 
@@ -127,3 +127,13 @@
     assert len(alone) == 11 and len(others) == simulated and len({pid for *_, pid in alone}) == 1
     assert all(b <= a for (_, b, _), (a, _, _) in pairwise(alone))
     assert not others or max(others) <= alone[0][0]
+
+
+@pytest.mark.parametrize("simulated", [2, 14])
+def test_a_worker_that_dies_fails_the_run_with_the_name_of_its_test(simulated, tmp_path):
+    """Found by trial: replaced, its tests given on by pytest-xdist, the run hung or ran the test again."""
+    dies = LOGGED.replace("    began", "    if n == %d: os._exit(3)\n    began")
+    (tmp_path / "test_net.py").write_text(dies % (6, 2))
+    code, out = run(tmp_path, dies % (simulated, 3), "", "-n", "3", "--max-worker-restart", "0")
+    file = "test_x.py::test_it[3]" if simulated > 3 else "test_net.py::test_it[2]"
+    assert code == 1 and f"crashed while running '{file}'" in out and f"FAILED {file}" in out
