--- /dev/null
+++ b/benchmarks/scale_fit.py
@@ -0,0 +1,145 @@
+"""Straight lines through what a scale run measured, how far off they are, and plots."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+Point = dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """A line `start + slope * by`. `off` is the worst residual as a share of what was measured there; `bend`
+    the last step's slope by the first's, 1 where the line is one."""
+
+    what: str
+    by: str
+    slope: float
+    start: float
+    off: float
+    bend: float
+    points: tuple[tuple[float, float], ...]
+
+
+def fit(what: str, by: str, points: list[tuple[float, float]]) -> Slope | None:
+    """Least squares of the relative distance, so that small sizes count as much; None under two points."""
+    points = sorted(points)
+    if len({x for x, _ in points}) < 2:
+        return None
+    x, y = np.array([p[0] for p in points]), np.array([p[1] for p in points])
+    weight = 1 / np.maximum(np.abs(y), 1e-9 + 0.02 * np.abs(y).max())
+    slope, start = np.polyfit(x, y, 1, w=weight)
+    off = float(np.max(np.abs(start + slope * x - y) * weight))
+    first = (y[1] - y[0]) / (x[1] - x[0]) if x[1] > x[0] else 0.0
+    last = (y[-1] - y[-2]) / (x[-1] - x[-2]) if x[-1] > x[-2] else 0.0
+    bend = float(last / first) if first else float("nan")
+    return Slope(
+        what, by, float(slope), float(start), off, bend, tuple((float(a), float(b)) for a, b in points)
+    )
+
+
+def _cpu(window: str, role: str) -> Callable[[Point], float]:
+    return lambda one: one[window][role]["user_ms"] + one[window][role]["kernel_ms"]
+
+
+def _of(window: str, role: str, key: str) -> Callable[[Point], float]:
+    return lambda one: one[window][role][key]
+
+
+MEASURED: dict[str, Callable[[Point], float]] = {
+    f"{role} {window}, ms/s": _cpu(window, role)
+    for window in ("rest", "counting", "changing")
+    for role in ("proxy", "registry", "counter", "store", "primary")
+} | {
+    f"{role}, MB": _of("rest", role, "resident_mb") for role in ("proxy", "registry", "store")
+} | {
+    f"{role} {window}, messages/s in": _of(window, role, "taken")
+    for window, role in (("rest", "registry"), ("counting", "counter"), ("rest", "store"))
+} | {
+    f"{role} rest, kB/s {way}": _of("rest", role, f"kb_{way}")
+    for role in ("registry", "store")
+    for way in ("in", "out")
+} | {
+    "limiter rest, ms/s": lambda one: one["rest"]["hollow"]["each_ms"],
+    "limiter rest, kB/s in": lambda one: one["rest"]["limiter"]["kb_in"],
+    "limiter changing, kB/s in": lambda one: one["changing"]["limiter"]["kb_in"],
+    "change in force, median ms": lambda one: one["change"]["in force"]["median"],
+    "change in force, worst ms": lambda one: one["change"]["in force"]["worst"],
+    "change acknowledged, worst ms": lambda one: one["change"]["acknowledged"]["worst"],
+    "drain known, worst ms": lambda one: one["drain"]["known"]["worst"],
+    "limiters start, worst ms": lambda one: one["limiters start"]["worst"],
+    "cold start, limiters, worst ms": lambda one: one["cold start"]["limiters"]["worst"],
+    "primary lost, s": lambda one: one["primary lost"]["s"],
+    "counter lost, s": lambda one: one["counter lost"]["s"],
+}  # fmt: skip
+
+
+def values(points: list[Point], by: str, get: Callable[[Point], float]) -> list[tuple[float, float]]:
+    """What was measured at each size, where it was."""
+    got = []
+    for one in points:
+        try:
+            got.append((float(one["size"][by]), float(get(one))))
+        except (KeyError, TypeError):
+            continue
+    return got
+
+
+def slopes(sweeps: dict[str, list[Point]]) -> list[Slope]:
+    """The lines of all that was measured by what was swept."""
+    found = (
+        fit(what, by, values(points, by, get))
+        for by, points in sweeps.items()
+        for what, get in MEASURED.items()
+    )
+    return [slope for slope in found if slope is not None]
+
+
+PANELS = {
+    "work": ("ms of processor a second", [w for w in MEASURED if w.endswith("ms/s") and "changing" not in w]),
+    "times": ("ms", [w for w in MEASURED if w.endswith("ms") and "median" not in w]),
+    "memory": ("MB resident", [w for w in MEASURED if w.endswith(", MB")]),
+}
+
+
+def plots(sweeps: dict[str, list[Point]], folder: Path) -> list[Path]:
+    """A file for each kind of figure, a panel for each sweep: what was measured, and its line."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    wrote = []
+    swept = [(by, points) for by, points in sweeps.items() if len(points) > 1]
+    for kind, (unit, whats) in PANELS.items():
+        figure, axes = pyplot.subplots(
+            1, max(1, len(swept)), figsize=(4.2 * max(1, len(swept)), 3.6), squeeze=False
+        )
+        for axis, (by, points) in zip(axes[0], swept, strict=False):
+            for n, what in enumerate(whats):
+                got = values(points, by, MEASURED[what])
+                line = fit(what, by, got)
+                if line is None:
+                    continue
+                x, y = np.array([p[0] for p in got]), np.array([p[1] for p in got])
+                color = f"C{n % 10}"
+                axis.plot(x, y, "o", color=color, markersize=4, label=what.rsplit(",", 1)[0])
+                along = np.linspace(x.min(), x.max(), 50)
+                axis.plot(along, line.start + line.slope * along, "-", color=color, linewidth=0.8)
+            axis.set_xscale("log")
+            axis.set_yscale("log")
+            axis.set_xlabel(by)
+            axis.set_ylabel(unit)
+            axis.grid(alpha=0.3)
+            axis.legend(fontsize=6)
+        figure.tight_layout()
+        path = folder / f"capacity-{kind}.png"
+        figure.savefig(path, dpi=80)
+        pyplot.close(figure)
+        wrote.append(path)
+    return wrote
