Calls from outside keep half of a registry's sockets, not a sixth

Cause: of 3,696 sockets a registry let callers keep 616 between calls (a limiter's rule for its clients). Beyond 616 servers a registry each new connection closed the one that had been idle longest, which was the next to be used: each heartbeat needed a new connection.

Change: rpc/outside.py keeps half (KEPT). The scale run tells its programs the sites' 4,096 descriptors, gives tenants quotas by their use, and counts the connections that heartbeats open; system_scale imports ASK from where it is.

The test fails with KEPT of a sixth.

--- a/benchmarks/scale_cluster.py
+++ b/benchmarks/scale_cluster.py
@@ -29,6 +29,7 @@
 CONTROL, FIRST_PORT, FRONT, READY = 8783, 7340, 8782, 8789
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r1"}
 HEARTBEAT = 1.5  # s, as at the sites
+DESCRIPTORS = 4096  # that a program is told it may have, as at the sites
 MOST_PROCESSES = 300
 MOST_SHARE = 0.5  # of the machine's memory
 SPARE_DESCRIPTORS = 200
@@ -48,7 +49,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Size:
-    """One point of a sweep. `changes` and `counts` are a second, counts for each hollow limiter."""
+    """One point of a sweep. `changes` and `counts` are a second, counts for each limiter; `use` is what
+    each tenant uses of its quota, a few tenants being large."""
 
     limiters: int = 30
     servers: int = 60
@@ -56,6 +58,7 @@
     tenants: int = 50
     changes: float = 0.2
     counts: float = 1.0
+    use: float = 0.6
     cores: int = 3
     proxies: int = 2
 
@@ -63,8 +66,8 @@
         for name, least in (("limiters", 1), ("servers", 1), ("routes", 1), ("tenants", 1), ("cores", 1)):
             if getattr(self, name) < least:
                 raise TooLarge(f"{name}: {getattr(self, name)} is under {least}")
-        if self.proxies < 0 or self.changes < 0 or self.counts < 0:
-            raise TooLarge("proxies, changes and counts can't be under 0")
+        if self.proxies < 0 or self.changes < 0 or self.counts < 0 or self.use <= 0:
+            raise TooLarge("proxies, changes and counts can't be under 0, nor use 0")
         if self.cores > 100 or self.proxies > 100:
             raise TooLarge("cores and proxies: over 100 of one kind have no addresses here")
 
@@ -265,15 +268,16 @@
         return [(f"127.{self.net}.3.{n + 1}", 8080) for n in range(self.size.servers)]
 
     def settings(self, name: str, role: str, ip: str, first: bool) -> str:
-        """A settings file's text, with room enough that no limit of a small machine is met."""
+        """A settings file's text, with the descriptors of the sites' machines, and memory enough."""
         zone = list(ZONES)[int(ip.rsplit(".", 1)[1]) % len(ZONES)]
         seeds = ",".join(f"{ip}:{port}" for ip, port in self.controls()[:3])
         lines = [
             f"self.node_name={name}", f"self.role={role}", "self.machine_class=any", f"self.ip_address={ip}",
             f"self.zone={zone}", f"self.region={ZONES[zone]}", "self.loss_counted=true",
             f"self.first_start={str(first).lower()}", "self.limits.memory_mb=4000",
-            "self.limits.file_descriptors=20000", f"network.internal_ports={FIRST_PORT},{FIRST_PORT + 15}",
-            f"network.seed_nodes={seeds}", f"platform_settings.heartbeat={HEARTBEAT * 1000:.0f}ms",
+            f"self.limits.file_descriptors={DESCRIPTORS}",
+            f"network.internal_ports={FIRST_PORT},{FIRST_PORT + 15}", f"network.seed_nodes={seeds}",
+            f"platform_settings.heartbeat={HEARTBEAT * 1000:.0f}ms",
             *(f"network.zones.{zone}={region}" for zone, region in ZONES.items()),
         ]  # fmt: skip
         if role == "proxy":
@@ -380,11 +384,12 @@
                 },
             }
         )  # fmt: skip
+    whole = sum(1 / (n + 1) for n in range(size.tenants))
     resources += [
         {
             "resource_kind": "tenants", "metadata": {"name": f"tenant-{n}"},
             "specification": {
-                "api_keys": [f"key-of-tenant-{n}"], "priority": 1, "rate_per_s": 50, "burst_size": 100,
+                "api_keys": [f"key-of-tenant-{n}"], "priority": 1, **quota(size, n, whole),
             },
         }
         for n in range(size.tenants)
@@ -392,6 +397,12 @@
     return json.dumps({"version": f"r{version}", "resources": resources}, separators=(",", ":")).encode()
 
 
+def quota(size: Size, n: int, whole: float) -> dict[str, float]:
+    """A tenant's quota by its part of what limiters count; room for some requests where they count little."""
+    rate = max(5.0, round(size.limiters * size.counts / (n + 1) / whole / size.use, 1))
+    return {"rate_per_s": rate, "burst_size": 2 * rate}
+
+
 def free_net(taken: Callable[[int], bool] | None = None) -> int:
     """A second part of addresses that nobody listens on, so that runs don't meet."""
     used = taken or (lambda net: any(c.laddr and c.laddr.ip.startswith(f"127.{net}.") for c in connections()))
--- a/benchmarks/scale_hollow.py
+++ b/benchmarks/scale_hollow.py
@@ -205,7 +205,7 @@
         self.sequence, self.state, self.acked = 0, "ready", 0
         self.wire: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.task: asyncio.Task[None] | None = None
-        self.failed = 0
+        self.failed = self.opened = 0
 
     def start(self, after: float) -> None:
         self.task = asyncio.get_running_loop().create_task(self.live(after))
@@ -245,6 +245,7 @@
 
     async def post(self, call: str, body: bytes) -> int:
         if self.wire is None or self.wire[1].is_closing():
+            self.opened += 1
             self.wire = await asyncio.open_connection(*self.controls[self.at])
         reader, writer = self.wire
         head = (
@@ -445,6 +446,7 @@
             "count_ms": seen.counts[:20_000], "size": seen.size,
             "beats": sum(server.acked for server in self.servers.values()),
             "beats_failed": sum(server.failed for server in self.servers.values()),
+            "opened": sum(server.opened for server in self.servers.values()),
             "cpu": [use.ru_utime, use.ru_stime],
         }  # fmt: skip
         if clear:
--- a/benchmarks/scale_measure.py
+++ b/benchmarks/scale_measure.py
@@ -64,7 +64,7 @@
     counts: dict[str, Figures]
     cpu: dict[str, list[float]]  # user and kernel, as each process has it of itself
     hollow: Figures
-    beats: int
+    beats: list[int]  # of servers: acknowledged, without an answer, connections opened
 
 
 class Run:
@@ -121,7 +121,8 @@
         cpu = {name: count["cpu"] for name, count in counts.items()}
         cpu |= {child.name: one["cpu"] for child, one in zip(self.cluster.keepers, kept, strict=True)}
         cpu |= {child.name: one for child, one in zip(self.cluster.workers, hollow["cpu"], strict=True)}
-        return Sample(at, costs, counts, cpu, hollow, sum(one["beats"] for one in kept))
+        beats = [sum(one[key] for one in kept) for key in ("beats", "beats_failed", "opened")]
+        return Sample(at, costs, counts, cpu, hollow, beats)
 
     async def window(self, name: str, seconds: float) -> None:
         """What each role costs a second; the registry that counts and the primary store are told apart."""
@@ -180,7 +181,11 @@
                     (said[role]["user_ms"] + said[role]["kernel_ms"]) * len(roles[role])
                     / (n if role == "hollow" else self.size.servers), 4,
                 )  # fmt: skip
-        return said | {"beats": round((after.beats - before.beats) / lasted, 1), "seconds": round(lasted, 2)}
+        for key, now, then in zip(
+            ("beats", "beats failed", "opened"), after.beats, before.beats, strict=True
+        ):
+            said[key] = round((now - then) / lasted, 2)
+        return said | {"seconds": round(lasted, 2)}
 
     async def status(self, n: int = 0) -> Figures:
         for step in range(20):
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -33,7 +33,7 @@
 from benchmarks.scale_fit import plots, slopes
 from benchmarks.scale_measure import Figures, measure
 
-SWEPT = ("limiters", "servers", "routes", "tenants", "changes", "counts")
+SWEPT = ("limiters", "servers", "routes", "tenants", "changes", "counts", "use")
 
 
 def table(all_: list[Figures], swept: str) -> Table:
@@ -74,6 +74,10 @@
             f"{window}: limiter, failed calls",
             lambda one, w=window: sum(one[w]["limiter"]["failed"].values()),
         )
+    row(
+        "rest: heartbeats/s, connections opened for them",
+        lambda one: (one["rest"]["beats"], one["rest"]["opened"]),
+    )
     for role in ("proxy", "registry", "store"):
         row(
             f"{role}, MB resident",
@@ -119,7 +123,7 @@
 
 
 def at(size: Size, name: str, value: float) -> Size:
-    return replace(size, **{name: value if name in ("changes", "counts") else int(value)})
+    return replace(size, **{name: value if name in ("changes", "counts", "use") else int(value)})
 
 
 def stopped() -> None:
--- a/benchmarks/system_scale.py
+++ b/benchmarks/system_scale.py
@@ -25,7 +25,7 @@
 
 from absl import logging
 
-from loomstand.proxy.sessions import ASK
+from loomstand.registry.program import ASK
 from loomstand.rpc.frames import Reader, pack
 from loomstand.simulation import loop as simulation
 from loomstand.simulation.cluster import Cluster
--- a/loomstand/rpc/outside.py
+++ b/loomstand/rpc/outside.py
@@ -14,6 +14,11 @@
 from loomstand.net.driver import Streams, Turns, Untimed
 from loomstand.net.ring import Room
 
+# Of the sockets, those that callers may keep between calls; the others are for new calls and, in a registry, for
+# limiters' sessions. With a sixth, a limiter's rule for its clients, beyond 616 servers a registry each heartbeat
+# needed a new connection: the one idle longest was closed, which was the next to be used.
+KEPT = 0.5
+
 Handler = Callable[[bytes, bytes, bytes], Awaitable[tuple[int, bytes]]]  # method, target, body: status, body
 
 
@@ -34,6 +39,7 @@
         self.front = Front(self, max(8, sockets // 10), sockets)
         if streams is not None:
             self.front.bind = streams.listen
+        self.front.most_held = int(sockets * KEPT)
         self.front.stays, self.front.most_body, self.front.own_paths = 20.0, body, False
         self.tasks: set[asyncio.Task[None]] = set()
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -17,6 +17,8 @@
 from benchmarks import scale_fit, scale_measure, scale_run
 from benchmarks.scale_cluster import Cluster, Limits, Size, TooLarge, need
 from benchmarks.scale_measure import measure
+from loomstand.net.endings import Ending
+from loomstand.rpc.outside import Outside
 
 TINY = Size(limiters=4, servers=5, routes=3, tenants=3, counts=5.0, cores=1, proxies=1)
 ROOT = Path(__file__).parent.parent
@@ -141,3 +143,25 @@
     file.write_text(json.dumps({"machine": {}, "sweeps": {"servers": points}}))
     found = scale_fit.slopes(scale_run.read([file])["sweeps"])
     assert [(one.what, round(one.slope, 6)) for one in found] == [("registry, MB", 1.0)]
+
+
+def test_callers_from_outside_keep_half_of_the_sockets() -> None:
+    """Heartbeats come on kept connections; closing the one idle longest would close the next to be used."""
+
+    class Caller:
+        free, surplus, stopped = True, False, False
+
+        def __init__(self) -> None:
+            self.wire = self
+
+        def stop(self, why: Ending) -> None:
+            self.stopped = True
+
+    async def held(many: int) -> list[int]:
+        outside = Outside(lambda *_: None, None, 1 << 20, 600, 4096)
+        callers = [Caller() for _ in range(many)]
+        for caller in callers:
+            outside.front.let_in(caller)
+        return [n for n, caller in enumerate(callers) if caller.stopped]
+
+    assert asyncio.run(held(300)) == [] and asyncio.run(held(301)) == [0]
