--- a/loomstand/rpc/outside.py
+++ b/loomstand/rpc/outside.py
@@ -14,9 +14,9 @@
 from loomstand.net.driver import Streams, Turns, Untimed
 from loomstand.net.ring import Room
 
-# Of the sockets, those that callers may keep between calls; the others are for new calls and, in a registry, for
-# limiters' sessions. With a sixth, a limiter's rule for its clients, beyond 616 servers a registry each heartbeat
-# needed a new connection: the one idle longest was closed, which was the next to be used.
+# Of the sockets, those that callers may keep between calls; the others are for new calls and, in a registry,
+# for limiters' sessions. With a sixth, a limiter's rule for its clients, beyond 616 servers a registry each
+# heartbeat needed a new connection: the one idle longest was closed, which was the next to be used.
 KEPT = 0.5
 
 Handler = Callable[[bytes, bytes, bytes], Awaitable[tuple[int, bytes]]]  # method, target, body: status, body
