--- a/loomstand/registry/limiters.py
+++ b/loomstand/registry/limiters.py
@@ -26,6 +26,9 @@
         self.present: tuple[str, ...] = ()
         self.missing: tuple[str, ...] = ()
         self.ranks: dict[str, int] = {}  # the place of each, present or missing, in the order of names
+        # Until when no session can fall, whoever speaks meanwhile. All were looked at in each call of each
+        # limiter: 0.4 ms of a call at 1,000 limiters, 2 ms at 3,000.
+        self.steady_until = 0.0
 
     def fleet(self, name: str) -> list[int]:
         """What a limiter hears of its set: its place, how many there are, and how many of them are silent."""
@@ -41,8 +44,10 @@
 
     def spoke(self, name: str, now: float) -> None:
         """A limiter asked here."""
+        known = name in self.own and self.ranks.get(name) is not None and name not in self.missing
         self.own[name] = self.seen[name] = now
-        self.sweep(now)
+        if not known or now > self.steady_until:
+            self.sweep(now)
 
     def told(self, name: str, at: float, now: float) -> None:
         """Another registry saw a limiter at that reading of the clock. Where it spoke here too, only that
@@ -58,12 +63,15 @@
             self.sweep(now)
 
     def sweep(self, now: float) -> None:
-        """Lets sessions fall that stand no more."""
+        """Lets sessions fall that stand no more. Times of those that speak only grow, so until the first that
+        may fall by what is known now, only a limiter that comes or that was silent changes anything."""
         for name, at in list(self.seen.items()):
             if now - at > HELD:
                 del self.seen[name]
                 self.own.pop(name, None)
         stands = {n for n, at in self.seen.items() if now - at <= (STANDS if n in self.own else TOLD)}
+        spans = {n: STANDS if n in self.own else TOLD for n in stands}
+        self.steady_until = min((at + spans.get(n, HELD) for n, at in self.seen.items()), default=now)
         present, missing = tuple(sorted(stands)), tuple(sorted(self.seen.keys() - stands))
         if (present, missing) != (self.present, self.missing):
             self.present, self.missing = present, missing
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 from pathlib import Path
+from random import Random
 
 import psutil
 import pytest
@@ -18,6 +19,7 @@
 from benchmarks.scale_cluster import Cluster, Limits, Size, TooLarge, need
 from benchmarks.scale_measure import measure
 from loomstand.net.endings import Ending
+from loomstand.registry.limiters import LimiterTable
 from loomstand.rpc.outside import Outside
 
 TINY = Size(limiters=4, servers=5, routes=3, tenants=3, counts=5.0, cores=1, proxies=1)
@@ -165,3 +167,57 @@
         return [n for n, caller in enumerate(callers) if caller.stopped]
 
     assert asyncio.run(held(300)) == [] and asyncio.run(held(301)) == [0]
+
+
+def test_limiters_that_speak_are_looked_at_when_one_may_fall() -> None:
+    """The same members, silent ones and versions at each step as where all are looked at in each call."""
+
+    class All(LimiterTable):
+        def spoke(self, name: str, now: float) -> None:
+            self.own[name] = self.seen[name] = now
+            self.sweep(now)
+
+    rng, fell = Random(5), 0
+    for _ in range(40):
+        table, every, now, names = LimiterTable(), All(), 0.0, [f"f-{n}" for n in range(rng.randint(1, 9))]
+        for _ in range(300):
+            now += rng.expovariate(rng.choice((1.0, 8.0, 30.0)))
+            name, what = rng.choice(names[: rng.randint(1, len(names))]), rng.random()
+            heard, before = now - rng.uniform(0.0, 3.0), len(table.missing)
+            for one in (table, every):
+                if what < 0.8:
+                    one.spoke(name, now)
+                elif what < 0.9:
+                    one.told(name, heard, now)
+                elif what < 0.95:
+                    one.ended(name, now)
+                else:
+                    one.sweep(now)
+            fell += len(table.missing) > before
+            assert (table.present, table.missing, table.ranks, table.version) == (
+                every.present, every.missing, every.ranks, every.version,
+            )  # fmt: skip
+    assert fell > 100
+    table = LimiterTable()  # one that others told of stands longer than one that speaks
+    table.told("a", 0.0, 0.0)
+    table.told("b", 0.0, 0.0)
+    table.spoke("a", 0.1)
+    table.spoke("b", 1.5)
+    assert (table.present, table.missing) == (("b",), ("a",))
+
+
+def test_a_limiter_that_speaks_costs_no_look_at_all_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    table, looks = LimiterTable(), 0
+    for n in range(300):
+        table.spoke(f"f-{n}", 0.6 * n / 300)
+    known = LimiterTable.sweep
+
+    def counted(table: LimiterTable, now: float) -> None:
+        nonlocal looks
+        looks += 1
+        known(table, now)
+
+    monkeypatch.setattr(LimiterTable, "sweep", counted)
+    for step in range(300 * 20):  # twelve seconds of asks each 0.6 s
+        table.spoke(f"f-{step % 300}", 0.6 + 0.6 * step / 300)
+    assert len(table.present) == 300 and looks <= 30
