Scale run: cores can be swept; what today's ways come to at other sizes, by the slopes

Cause: CAPACITY needs today's ways at 300, 1,000 and the target, each a measured slope times a count.

--- a/benchmarks/scale_cluster.py
+++ b/benchmarks/scale_cluster.py
@@ -398,8 +398,10 @@
 
 
 def quota(size: Size, n: int, whole: float) -> dict[str, float]:
-    """A tenant's quota by its part of what limiters count; room for some requests where they count little."""
-    rate = max(5.0, round(size.limiters * size.counts / (n + 1) / whole / size.use, 1))
+    """A tenant's quota by its part of what limiters count, 5 a second at the least; where they count nothing,
+    more than requests of one proxy come to."""
+    least = 5.0 if size.counts else 1000.0
+    rate = max(least, round(size.limiters * size.counts / (n + 1) / whole / size.use, 1))
     return {"rate_per_s": rate, "burst_size": 2 * rate}
 
 
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -33,7 +33,7 @@
 from benchmarks.scale_fit import plots, slopes
 from benchmarks.scale_measure import Figures, measure
 
-SWEPT = ("limiters", "servers", "routes", "tenants", "changes", "counts", "use")
+SWEPT = ("limiters", "servers", "routes", "tenants", "changes", "counts", "use", "cores")
 
 
 def table(all_: list[Figures], swept: str) -> Table:
