--- a/benchmarks/scale_fit.py
+++ b/benchmarks/scale_fit.py
@@ -100,11 +100,20 @@
     return [slope for slope in found if slope is not None]
 
 
-PANELS = {
-    "work": ("ms of processor a second", [w for w in MEASURED if w.endswith("ms/s") and "changing" not in w]),
-    "times": ("ms", [w for w in MEASURED if w.endswith("ms") and "median" not in w]),
-    "memory": ("MB resident", [w for w in MEASURED if w.endswith(", MB")]),
+# The window that shows what a sweep costs.
+WINDOW = {
+    "routes": "changing",
+    "tenants": "changing",
+    "changes": "changing",
+    "counts": "counting",
+    "use": "counting",
 }
+PANELS = {
+    "work": ("ms of processor a second", lambda what, by: what.endswith(f"{WINDOW.get(by, 'rest')}, ms/s")),
+    "times": ("ms", lambda what, by: what.endswith(" ms")),
+    "memory": ("MB resident", lambda what, by: what.endswith(", MB")),
+}  # fmt: skip
+ACROSS = 4  # panels in a row
 
 
 def plots(sweeps: dict[str, list[Point]], folder: Path) -> list[Path]:
@@ -116,12 +125,13 @@
 
     wrote = []
     swept = [(by, points) for by, points in sweeps.items() if len(points) > 1]
-    for kind, (unit, whats) in PANELS.items():
-        figure, axes = pyplot.subplots(
-            1, max(1, len(swept)), figsize=(4.2 * max(1, len(swept)), 3.6), squeeze=False
-        )
-        for axis, (by, points) in zip(axes[0], swept, strict=False):
-            for n, what in enumerate(whats):
+    down = max(1, -(-len(swept) // ACROSS))
+    for kind, (unit, shows) in PANELS.items():
+        figure, axes = pyplot.subplots(down, ACROSS, figsize=(3.6 * ACROSS, 3.2 * down), squeeze=False)
+        for axis in axes.flat[len(swept) :]:
+            axis.set_axis_off()
+        for axis, (by, points) in zip(axes.flat, swept, strict=False):
+            for n, what in enumerate(what for what in MEASURED if shows(what, by)):
                 got = values(points, by, MEASURED[what])
                 line = fit(what, by, got)
                 if line is None:
@@ -129,7 +139,7 @@
                 x, y = np.array([p[0] for p in got]), np.array([p[1] for p in got])
                 color = f"C{n % 10}"
                 axis.plot(x, y, "o", color=color, markersize=4, label=what.rsplit(",", 1)[0])
-                along = np.linspace(x.min(), x.max(), 50)
+                along = np.geomspace(x.min(), x.max(), 50)
                 axis.plot(along, line.start + line.slope * along, "-", color=color, linewidth=0.8)
             axis.set_xscale("log")
             axis.set_yscale("log")
@@ -139,7 +149,7 @@
             axis.legend(fontsize=6)
         figure.tight_layout()
         path = folder / f"capacity-{kind}.png"
-        figure.savefig(path, dpi=80)
+        figure.savefig(path, dpi=75)
         pyplot.close(figure)
         wrote.append(path)
     return wrote
--- a/benchmarks/scale_target.py
+++ b/benchmarks/scale_target.py
@@ -24,6 +24,16 @@
 # 50 times 3,000 of them in one process.
 TOLD_US = 4.4
 RESTARTS, CHANGES_A_DAY = 27_000, 37_000
+# The ways of docs/CAPACITY.md. Measured: us of one entry of a batch of counts (`Counters.add` and
+# `QuotaBuckets.counted`, 200,000 of them among 5,000 tenants). The rest is decided or assumed there.
+ENTRY_US, ENTRY_KB = 1.95, 0.010
+REGIONS, SESSIONS, CONTROL_A_REGION = 7, 2, 3
+BATCH = 0.25  # s between a limiter's batches to each counter of its region
+CHUNKS = 4_096  # of routes, and as many of tenants
+HELD = 0.3  # of all chunks, by a limiter
+ROWS_A_RESTART, MANIFEST_KB = 3, 6.0  # draining, gone, ready; the two upper pages of the tree
+WARM = {"servers": 3_500, "routes": 1_000, "tenants": 2_000}  # that a limiter holds as objects
+COLD_MB = 8.0  # rows and chunks that it holds as bytes
 
 
 @dataclass(slots=True, frozen=True)
@@ -179,6 +189,47 @@
     }  # fmt: skip
 
 
+def planned(s: Slopes) -> dict[str, float]:
+    """The target by the page's ways: one machine of each role."""
+    t = TARGET
+    region, machines = t.limiters / REGIONS, CONTROL_A_REGION
+    batches, counted = region / BATCH, region * t.requests / t.limiters / machines
+    asks, calls = SESSIONS / ASK, machines / BATCH
+    requests = t.requests / t.limiters
+    chunk = {by: getattr(t, by) / CHUNKS for by in ("routes", "tenants")}
+    chunk_kb = chunk["routes"] * s["bytes of routes"] / 1000
+    parsed = chunk["routes"] * s["proxy, us of routes a change"] / 1000
+    rows = RESTARTS / 86_400 * ROWS_A_RESTART
+    beats = t.servers / BEAT / t.cores
+    return {
+        "limiter: asks a second": asks,
+        "limiter: ms/s of asks": asks * s["limiter, ms an ask"],
+        "limiter: ms/s of batches, their entries": calls * s["limiter, ms a count"]
+        + requests * ENTRY_US / 1000,
+        "limiter: ms/s of changes": t.changes * HELD * parsed,
+        "limiter: kB/s of asks": asks * s["limiter, kB an ask"],
+        "limiter: kB/s of batches, their entries": calls * s["limiter, kB a count"]
+        + 1.1 * requests * ENTRY_KB,
+        "limiter: kB/s of changes": t.changes * (0.1 + HELD * chunk_kb),
+        "limiter: kB/s of servers' rows, an ordinary day": SESSIONS * rows * ROW_KB,
+        "limiter: MB": s["proxy, MB with none"] + COLD_MB
+        + sum(s[f"proxy, kB memory of {by}"] * many / 1000 for by, many in WARM.items()),
+        "registry: asks a second": region * asks / machines,
+        "registry: ms/s of asks": region * asks / machines * s["registry, ms an ask"],
+        "registry: heartbeats a second": beats,
+        "registry: ms/s of heartbeats": beats * s["registry, ms a heartbeat"],
+        "registry: MB of rows": t.servers * s["registry, kB memory of servers"] / 1000,
+        "registry: MB/s of chunks to limiters": t.changes * HELD * region * chunk_kb / machines / 1000,
+        "counter: batches a second": batches,
+        "counter: entries a second": counted,
+        "counter: ms/s": batches * s["counter, ms a count"] + counted * ENTRY_US / 1000,
+        "store: kB written a change": 2 * chunk_kb + MANIFEST_KB,
+        "store: MB on disk": (s["bytes of routes"] * t.routes + s["bytes of tenants"] * t.tenants) / 1e6,
+        "chunk of routes: kB": chunk_kb,
+        "chunk of routes: ms to parse": parsed,
+    }  # fmt: skip
+
+
 def main() -> None:
     s = Slopes.of(read([Path(path) for path in sys.argv[1:]])["sweeps"])
     print("slopes")
@@ -188,6 +239,9 @@
     each = [rows(s, at) for at in SYSTEMS]
     for name in each[0]:
         print(f"| {name} | " + " | ".join(one[name] for one in each) + " |")
+    print("\nthe target by the ways of docs/CAPACITY.md")
+    for name, value in planned(s).items():
+        print(f"| {name} | {value:,.3g} |" if value < 100 else f"| {name} | {value:,.0f} |")
 
 
 if __name__ == "__main__":
