Tests and benchmark of the peers import Lists by its name

Cause: the renaming of the registry's Lists to InstanceView also took peers.lists.Lists in tests/test_peers.py and benchmarks/peers_scale.py, which didn't import any more; the class there has its name as before. Change: the name in these two files; nothing of what they check. Measured: the whole of tests/: 659 passed in 366 s.

--- a/benchmarks/peers_scale.py
+++ b/benchmarks/peers_scale.py
@@ -16,7 +16,7 @@
 
 from loomstand.config import Member, Members
 from loomstand.peers.driver import TICK
-from loomstand.peers.lists import InstanceView
+from loomstand.peers.lists import Lists
 from loomstand.peers.members import Members as Membership
 from loomstand.peers.messages import Part, Want
 
@@ -31,7 +31,7 @@
         self.heap: list[tuple[float, int, int, object]] = []
         self.order = self.sent = 0
         self.machines: list[Membership | None] = [None] * n
-        self.lists: list[InstanceView | None] = [None] * n
+        self.lists: list[Lists | None] = [None] * n
         self.held: list[bool] = [False] * n
         self.ready: list[float] = [-1.0] * n
         self.started = [self.rng.random() for _ in range(n)]
@@ -49,7 +49,7 @@
     def begin(self, i: int) -> None:
         given = [str(self.rng.randrange(self.n)) for _ in range(GIVEN)]
         self.machines[i] = Membership(i, str(i), 1, given, self.rng.getrandbits(32), self.now)
-        self.lists[i] = InstanceView(i, self.now, self.n)
+        self.lists[i] = Lists(i, self.now, self.n)
 
     def discovery(self, i: int) -> None:
         """A call for the list: answered at once, or turned away."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,7 @@
 from loomstand.config import ConfigError, Member, Members, parse
 from loomstand.lab.scenario import ScenarioError, from_table
 from loomstand.peers import messages
-from loomstand.peers.lists import OLD, WATCHERS, InstanceView
+from loomstand.peers.lists import OLD, WATCHERS, Lists
 from loomstand.peers.members import Members as Membership
 from loomstand.peers.members import State
 from loomstand.peers.messages import Part, Ping
@@ -140,12 +140,12 @@
     return Members(revision=revision, complete=complete, members=[member(i) for i in ids])
 
 
-def handed(lists: InstanceView, to: InstanceView, now: float) -> list:
+def handed(lists: Lists, to: Lists, now: float) -> list:
     return [told for part in lists.whole() if (told := to.from_peer(now, part)) is not None]
 
 
 def test_a_list_goes_from_one_to_the_next_and_never_backwards():
-    one, two, three = InstanceView(0, 0.0), InstanceView(1, 0.0), InstanceView(2, 0.0)
+    one, two, three = Lists(0, 0.0), Lists(1, 0.0), Lists(2, 0.0)
     one.from_discovery(1.0, listed(5, *(f"s{n}" for n in range(100))))
     old = one.whole()
     assert len(old) == 3
@@ -160,7 +160,7 @@
 
 
 def test_a_shorter_list_of_a_peer_alone_takes_nobody_out():
-    one, two = InstanceView(0, 0.0), InstanceView(1, 0.0)
+    one, two = Lists(0, 0.0), Lists(1, 0.0)
     for lists in (one, two):
         lists.from_discovery(1.0, listed(5, "a", "b", "c"))
     short = Part(0, 0, 9, [], members=[member("a")])
@@ -172,14 +172,14 @@
 
 @pytest.mark.parametrize("n, of, revision", [(3, 3, 9), (-1, 3, 9), (0, 100_000, 9), (0, 1, 0), (0, 1, -5)])
 def test_what_is_no_list_changes_nothing(n, of, revision):
-    lists = InstanceView(1, 0.0)
+    lists = Lists(1, 0.0)
     lists.from_discovery(1.0, listed(5, "a"))
     assert lists.from_peer(2.0, Part(0, 0, revision, [], n=n, of=of, members=[member("x")])) is None
     assert set(lists.members) == {"a"} and lists.revision == 5
 
 
 def test_a_torn_list_is_dropped_in_time():
-    one, two = InstanceView(0, 0.0), InstanceView(1, 0.0)
+    one, two = Lists(0, 0.0), Lists(1, 0.0)
     one.from_discovery(1.0, listed(5, *(f"s{n}" for n in range(100))))
     a, b, c = one.whole()
     assert two.from_peer(1.0, a) is two.from_peer(1.1, b) is None
@@ -189,7 +189,7 @@
 
 def test_few_ask_discovery_and_the_others_in_turn_when_its_word_is_old():
     every = list(range(50))
-    fleet = [InstanceView(n, 0.0) for n in every]
+    fleet = [Lists(n, 0.0) for n in every]
     assert [n for n in every if fleet[n].watching(0.0, [n])] == list(range(WATCHERS))  # a start
     for lists in fleet:
         lists.known(listed(5, "a"))
