--- a/benchmarks/scale_measure.py
+++ b/benchmarks/scale_measure.py
@@ -440,7 +440,9 @@
         cluster.processes.began = began
     try:
         found = await run.play()
-        if profile:
+        if profile:  # first those that keep the program busy, so that it has time to write what it saw
+            await cluster.processes.end([*cluster.workers, *cluster.keepers])
+            await asyncio.sleep(SETTLES)
             await cluster.processes.end()
             found["profile"] = profiled(cluster.folder / "profile.stats")
     except TooLarge:
