--- a/loomstand/almanac/draw.py
+++ b/loomstand/almanac/draw.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+from loomstand.almanac import dense
 from loomstand.almanac.site import FOR_S, Site, Trouble, hundredths, span
 
 # How strong troubles are beside the site's own figures. Standing days go from 0.6 of them (scale_in) to 1.8
@@ -20,6 +21,7 @@
 TRIES = 20  # mixes tried for a day: on the four sites a fortieth fewer days than one try; 60 spare no more
 MOST_SHARE = 0.9  # of things that a trouble strikes, unless the site itself says more
 EDGE = 4  # a meeting keeps off this part of the time for faults at both ends, else all begin or end at once
+DENSE_DAYS = 10  # unless a number is wished
 LEAST = 10  # hundredths of a second; a shorter trouble would be none
 
 Pair = tuple[str, str]
@@ -32,6 +34,7 @@
     days: int | None = None  # none: until every two kinds have met
     kinds: tuple[str, ...] = ()  # none: all that the site lists
     load: float = 1.0  # times the requests of the standing day
+    dense: str = ""  # an aim of `dense.AIMS`; none: a few troubles of the site's own list
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,12 +68,20 @@
     return (a, b) if a < b else (b, a)
 
 
+def kinds_of(site: Site, wish: Wish) -> list[str]:
+    """What is drawn from. Raises ValueError for a wished kind that isn't there."""
+    there = {way.kind for way in dense.ways(site)} if wish.dense else set(site.kinds)
+    for kind in wish.kinds:
+        if kind not in there:
+            raise ValueError(f"{kind} is not among the site's troubles: {', '.join(sorted(there))}")
+    return sorted(wish.kinds or there)
+
+
 def draw(site: Site, wish: Wish) -> list[Drawn]:
     """The days. Raises ValueError for a kind that the site doesn't list."""
-    for kind in wish.kinds:
-        if kind not in site.kinds:
-            raise ValueError(f"{kind} is not among the site's troubles: {', '.join(site.kinds)}")
-    kinds = sorted(set(wish.kinds) or site.kinds)
+    kinds = kinds_of(site, wish)
+    if wish.dense:
+        return _dense(site, wish, kinds)
     # A text as seed gives the same numbers in every process.
     rng = Random(f"{site.name} {wish.seed} {wish.severity} {','.join(kinds)}")
     bases, closings = _turns(site.bases, rng), _turns((*site.closings, None), rng)
@@ -92,6 +103,20 @@
     return days
 
 
+def _dense(site: Site, wish: Wish, kinds: list[str]) -> list[Drawn]:
+    rng = Random(f"{site.name} dense {wish.dense} {wish.seed} {wish.severity} {','.join(kinds)}")
+    bases, closings = _turns(site.bases, rng), _turns(dense.CLOSINGS, rng)
+    days = []
+    for n in range(DENSE_DAYS if wish.days is None else wish.days):
+        length, found = dense.troubles(site, wish.dense, wish.severity, tuple(kinds), rng)
+        placed = [Placed(*one) for one in sorted(found, key=lambda one: (one[1], one[0].kind))]
+        name = f"{site.name}-{wish.dense}-{wish.severity}-{wish.seed}-{n + 1:02d}"
+        base, closing = next(bases), dense.closing(next(closings), rng)
+        fields = _fields(base, name, placed, closing, wish.load, rng)
+        days.append(Drawn(name, base["name"], None, tuple(placed), fields | {"length_s": float(length)}))
+    return days
+
+
 def mixes(kinds: list[str], size: int, rng: Random) -> Iterator[tuple[bool, tuple[str, ...]]]:
     """Without end: whether the mix has pairs that no mix before had, and its kinds. First, greedily, until
     every two kinds have been in one mix; then by lot."""
--- a/loomstand/almanac/site.py
+++ b/loomstand/almanac/site.py
@@ -46,6 +46,7 @@
     closings: tuple[dict[str, Any], ...]
     classes: tuple[str, ...]
     zones: tuple[str, ...]
+    contracts: tuple[str, ...]
 
 
 def hundredths(value: float) -> int:
@@ -121,6 +122,7 @@
         {kind: tuple(ways) for kind, ways in kinds.items()}, bases, tuple(closings.values()),
         tuple(str(c.get("name", "")) for c in _tables(told, "classes")),
         tuple(str(z.get("name", "")) for z in _tables(told, "zones")),
+        tuple(map(str, told.get("contracts", ()))),
     )  # fmt: skip
 
 
--- a/loomstand/almanac/write.py
+++ b/loomstand/almanac/write.py
@@ -8,7 +8,7 @@
 from itertools import combinations
 from typing import Any
 
-from loomstand.almanac.draw import Drawn, Pair, Wish, pair
+from loomstand.almanac.draw import Drawn, Pair, Wish, kinds_of, pair
 from loomstand.almanac.site import Site
 
 _BARE = re.compile(r"[A-Za-z0-9_-]+")
@@ -46,7 +46,7 @@
 
 def index(site: Site, wish: Wish, days: list[Drawn]) -> dict[str, Any]:
     """What each day mixes and which pairs of kinds met. Times in seconds from the start of traffic."""
-    kinds = sorted(set(wish.kinds) or site.kinds)
+    kinds = kinds_of(site, wish)
     possible: list[Pair] = [pair(*two) for two in combinations(kinds, 2)]
     met: set[Pair] = set()
     rows = []
@@ -70,7 +70,8 @@
             "pairs_met": len(day.met()), "pairs_new": new,
         })  # fmt: skip
     return {
-        "site": site.name, "severity": wish.severity, "seed": wish.seed, "load": wish.load, "kinds": kinds,
+        "site": site.name, "severity": wish.severity, "seed": wish.seed, "load": wish.load,
+        "dense": wish.dense, "kinds": kinds,
         "pairs": {
             "possible": len(possible), "met": len(met), "all_met_by_day": all_met,
             "never_met": sorted(set(possible) - met),
--- a/loomstand/ctl/commands.py
+++ b/loomstand/ctl/commands.py
@@ -272,6 +272,13 @@
         float,
         cappa.Arg(long="--load", value_name="X", parse=_load, help="times the requests of the standing days"),
     ] = 1.0
+    dense: Annotated[
+        Literal["", "cut", "orders", "losses", "changes", "answers", "quotas", "all"],
+        cappa.Arg(
+            long="--dense", show_default=False,
+            help="many troubles of every kind at once, most of them of this aim",
+        ),
+    ] = ""  # fmt: skip
     json: Json = False
 
 
--- a/loomstand/ctl/days.py
+++ b/loomstand/ctl/days.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from collections import Counter
 
 from loomstand.almanac import draw, site, write
 from loomstand.ctl import show
@@ -17,7 +18,7 @@
     try:
         at = site.read(held(asked.site))
         kinds = tuple(kind for kind in asked.kinds.split(",") if kind)
-        wish = draw.Wish(asked.seed, asked.severity, asked.days, kinds, asked.load)
+        wish = draw.Wish(asked.seed, asked.severity, asked.days, kinds, asked.load, asked.dense)
         drawn = draw.draw(at, wish)
         files = {write.file_name(day): write.day_text(day.fields) for day in drawn}
     except ValueError as why:
@@ -30,7 +31,8 @@
     table = show.table("day", "like", "closing", "meet at", "troubles", whole=("closing", "meet at"))
     for n, day in enumerate(told["days"], 1):
         meeting = "" if day["meeting_s"] is None else f"{day['meeting_s']:g} s"
-        troubles = ", ".join(one["kind"] for one in day["troubles"])
+        counts = Counter(one["kind"] for one in day["troubles"])
+        troubles = ", ".join(kind if n == 1 else f"{kind} x {n}" for kind, n in counts.items())
         table.add_row(str(n), day["base"], day["closing"] or "none", meeting, said(troubles))
     show.console().print(table)
     pairs = told["pairs"]
--- a/tests/test_almanac.py
+++ b/tests/test_almanac.py
@@ -8,7 +8,7 @@
 import sys
 import tomllib
 from dataclasses import replace
-from itertools import takewhile
+from itertools import combinations, takewhile
 from math import ceil
 from random import Random
 
@@ -16,7 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from loomstand.almanac import entry, losses, site
+from loomstand.almanac import dense, entry, losses, site
 from loomstand.almanac.draw import SEVERITY, SIZE, Wish, draw, mixes
 from loomstand.almanac.site import SiteError
 from loomstand.almanac.write import day_text, index, toml
@@ -163,6 +163,58 @@
     assert all(a < b < c for a, b, c in zip(*strong.values(), strict=True))
 
 
+POOLED = site.read(SITE.replace('name = "mill"', 'name = "pond"\ncontracts = ["base", "pool"]').encode())
+WORK = {"config_change", "config_race", "bad_config", "revoke", "release", "scale_in", "roll_term"}
+WORK |= {"seed_turnover"}
+
+
+@settings(deadline=None, max_examples=60)
+@given(st.sampled_from(sorted(dense.AIMS)), st.sampled_from(sorted(SEVERITY)), st.integers(0, 10**6))
+def test_a_dense_day_holds_kinds_in_force_over_and_over_within_its_length(aim, severity, seed):
+    wish = Wish(seed, severity, 2, dense=aim)
+    days = draw(POOLED, wish)
+    assert days == draw(POOLED, wish) and len(days) == 2
+    for day in days:
+        assert tomllib.loads(day_text(day.fields))["day"] == [day.fields]
+        length = day.fields["length_s"]
+        lines = [(where, line) for where in ("plan", "faults") for line in day.fields[where]]
+        told = [(where, line) for where, line in lines if line["kind"] != "config_change"]
+        assert len(told) >= dense.RATE[severity] * length / 20
+        for where, line in lines:
+            way = [one for one in dense.WAYS if one.kind == line["kind"]]
+            assert way and all(one.contract in ("", "pool") for one in way)
+            assert (line["kind"] in WORK) == (where == "plan")
+            assert 0 <= line["at"] <= length - dense.QUIET and 0 < line.get("share", 1) <= 1
+            if where == "faults" and line["at"] < length - dense.QUIET - 0.1:
+                assert ends(line, where, POOLED.things) <= max(length - dense.QUIET, line["at"] + 5) + 1e-6
+        if aim == "changes":  # hundreds on the longer days: one in 0.1 to 0.4 s, half as long again at most
+            assert sum(line["kind"] == "config_change" for _, line in lines) >= (length - 3) / 0.6
+        same = [pair for pair in combinations(day.placed, 2) if pair[0].meets(pair[1])]
+        assert len(same) >= len(day.placed) / 2  # several at once
+
+
+def test_dense_days_come_to_every_kind_variant_and_closing_and_mostly_to_their_aim():
+    hows, kinds, closings = set(), set(), set()
+    for aim, wished in dense.AIMS.items():
+        days = draw(POOLED, Wish(5, "harsh", 20, dense=aim))
+        troubles = [p.trouble for day in days for p in day.placed]
+        hows |= {(t.kind, word) for t in troubles for word in t.how.split()}
+        kinds |= {t.kind for t in troubles}
+        closings |= {(c["kind"], c.get("how", "")) if (c := d.fields.get("closing")) else None for d in days}
+        if wished:
+            told = [t for t in troubles if aim != "changes" or t.kind != "config_change"]
+            assert sum(t.kind in wished for t in told) >= dense.AIMED * len(told) * 0.9
+    open_ = dense.ways(POOLED)
+    assert kinds == {way.kind for way in open_} and "idle_race" in kinds and "srv_flap" not in kinds
+    words = {(w.kind, word) for w in open_ for group in w.hows for how in group for word in how.split()}
+    assert hows == words and ("core_cut", "one_way") in words and ("after_ack_kill", "taken") in words
+    assert len(closings) == len(dense.CLOSINGS) and None in closings
+    only = draw(POOLED, Wish(1, "usual", 3, ("hot_tenant", "core_cut"), dense="quotas"))
+    assert {p.trouble.kind for day in only for p in day.placed} == {"hot_tenant", "core_cut"}
+    with pytest.raises(ValueError, match="srv_flap is not among"):
+        draw(POOLED, Wish(kinds=("srv_flap",), dense="all"))
+
+
 @pytest.mark.parametrize(
     "old, new, said",
     [
@@ -217,7 +269,11 @@
     assert main([*words[:-2], "8", "--out", str(tmp_path / "1")]) == 2
     assert capsys.readouterr().err.count("\n") == 1
     assert {f.name: f.read_bytes() for f in (tmp_path / "1").iterdir()} == one
-    for bad in (["--kinds", "garble,flood"], ["--days", "0"], ["--load", "nan"], ["--severity", "x"]):
+    dense_words = ["days", "draw", mill, "--dense", "cut", "--days", "2", "--out", str(tmp_path / "4")]
+    assert main(dense_words) == 0 and "core_cut" in capsys.readouterr().out
+    assert len(json.loads((tmp_path / "4" / "index.json").read_text())["days"]) == 2
+    bads = (["--kinds", "garble,flood"], ["--days", "0"], ["--load", "nan"], ["--severity", "x"])
+    for bad in (["--dense", "storm"], *bads):
         assert main(["days", "draw", mill, "--out", str(tmp_path / "3"), *bad]) == 2
         assert capsys.readouterr().err.count("\n") == 1 and not (tmp_path / "3").exists()
 
