Limits of the newest configuration hold on kept connections; a shorter idle time lets rests end

Cause: a connection had the header and body limits of its opening; a shorter idle_timeout closed connections that rested on the longer one. Change: limits are taken at a message's first byte; a shorter idle time begins after the longer one has passed.

--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -42,7 +42,9 @@
     def received(self) -> None:
         self.read_at = self.front.limiter.turns.came(self.made, self.made_at)
         if self.begun_at is None:
-            self.begun_at = self.read_at
+            self.begun_at, machine, front = self.read_at, self.machine, self.front
+            machine.most, machine.most_head = front.most_body, front.most_head  # of now, not of its opening
+            self.wire.inbound.most = front.most_body + front.most_head
         if self.req is None:
             self.take()
         elif self.wire.inbound.used >= self.wire.inbound.most:
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -192,12 +192,19 @@
         return True
 
     def bound(self, limits: Limits) -> None:
-        """What new connections of clients may send, and how long they may idle. A body is held whole, so it
-        may take an eighth of the memory for buffers at most, whatever the configuration allows."""
-        self.front.stays = limits.idle_timeout + 1
+        """What clients may send from their next request on, and how long they may idle. A body is held whole,
+        so it may take an eighth of the memory for buffers at most, whatever the configuration allows."""
+        self.stays, before = limits.idle_timeout + 1, self.front.stays
+        if self.stays >= before:
+            self.front.stays = self.stays
+        else:  # who has rested on the longer time's word may still do so to its end
+            self.loop.call_later(before, self.shorten, self.stays)
         self.front.most_head = limits.max_header_bytes
         self.front.most_body = min(limits.max_body_bytes, self.room_at_all // 8)
 
+    def shorten(self, stays: float) -> None:
+        self.front.stays = max(stays, self.stays)  # it may have become longer since
+
     def full(self, totals: list[list[float]]) -> None:
         """Tenants near the brim of their quota, by the names of their counts."""
         for name, total in totals:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,90 @@
+"""What a configuration's `limits` let clients do, on connections that were there before it."""
+
+from __future__ import annotations
+
+import pytest
+
+from loomstand.net.clients import Client
+from loomstand.proxy.program import Proxy
+from loomstand.simulation.cluster import FRONT, Cluster
+
+FIRST = {
+    "max_header_bytes": 2048, "max_body_bytes": 4096, "header_timeout": "3000ms", "idle_timeout": "15000ms",
+}  # fmt: skip
+
+
+@pytest.fixture
+def town():
+    made = Cluster(3, proxies=1)
+    made.resources["limits", "limits"] = FIRST
+    made.usual()
+    made.do(made.begin())
+    made.front = (next(iter(made.proxies)), FRONT)
+    yield made
+    made.close()
+
+
+def change(town: Cluster, **limits) -> None:
+    town.resources["limits", "limits"] = FIRST | limits
+    assert town.do(town.replace())
+    town.wait(0.5)
+
+
+def asked(town: Cluster, body: int = 0, path: str = "x") -> tuple[int, bool]:
+    """The status of a request's one try, and whether it went on the connection kept from the last."""
+    kept = town.client.idle.get(town.front)
+    ask = town.client.ask("POST", "town.example", f"/once/{path}", "key-of-ann", b"b" * body)
+    reply = town.do(town.client.once(ask, town.front))
+    return reply.status, kept is not None and town.client.idle.get(town.front) is kept
+
+
+def test_a_kept_connection_has_the_limits_of_the_newest_configuration(town):
+    assert asked(town) == (200, False)
+    change(town, max_header_bytes=8192, max_body_bytes=65536)
+    assert asked(town, body=40_000, path="x" * 5000) == (200, True)
+    change(town, max_body_bytes=10_000)
+    assert asked(town, body=9_000) == (200, True)
+    assert asked(town, body=20_000)[0] == 413
+
+
+def test_who_rests_under_the_longer_idle_timeout_may_rest_to_its_end_and_no_longer_after(town):
+    assert asked(town) == (200, False)
+    change(town, idle_timeout="3000ms")
+    town.wait(11.4)  # four fifths of what was in force as the rest began
+    assert asked(town) == (200, True)
+    town.wait(8.0)  # by now the shorter one holds
+    assert town.client.idle[town.front].over
+    assert asked(town) == (200, False)
+
+
+def test_it_is_caught_where_a_shorter_idle_timeout_holds_at_once(town, monkeypatch):
+    """The mutation: the new figure ends connections that rest on the old one's word."""
+    usual = Proxy.bound
+
+    def bound(self, limits):
+        usual(self, limits)
+        self.front.stays = self.stays
+
+    monkeypatch.setattr(Proxy, "bound", bound)
+    assert asked(town) == (200, False)
+    change(town, idle_timeout="3000ms")
+    town.wait(11.4)
+    assert asked(town) == (200, False)  # it was closed
+
+
+def test_it_is_caught_where_a_connection_keeps_the_limits_of_its_opening(town, monkeypatch):
+    """The mutation: what a connection may send is what was in force as it came."""
+    usual = Client.received
+
+    def received(self):
+        machine, wire = self.machine, self.wire
+        before = machine.most, machine.most_head, wire.inbound.most
+        if self.begun_at is None:
+            self.begun_at = self.front.limiter.turns.since
+        usual(self)
+        machine.most, machine.most_head, wire.inbound.most = before
+
+    monkeypatch.setattr(Client, "received", received)
+    assert asked(town) == (200, False)
+    change(town, max_header_bytes=8192, max_body_bytes=65536)
+    assert asked(town, body=40_000, path="x" * 5000)[0] == 431
