--- a/loomstand/shared/configuration.py
+++ b/loomstand/shared/configuration.py
@@ -219,6 +219,8 @@
     timeout = spec.seconds("timeout")
     if timeout > MOST_TIMEOUT:
         raise spec.wrong("timeout", "over ten minutes")
+    if timeout <= 0:  # no request could be served in it; the operators' days send it as an invalid one
+        raise spec.wrong("timeout", "0")
     attempts = spec.whole("maximum_attempts", 1)
     if attempts < 1:
         raise spec.wrong("maximum_attempts", "0")
