--- a/loomstand/net/clients.py
+++ b/loomstand/net/clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from loomstand.net import driver, http
 from loomstand.net.driver import Listens, Wire
 from loomstand.net.endings import Ending
@@ -117,6 +119,11 @@
         between = self.req is None and not wire.inbound.used and not self.machine.begun
         return between and wire.written and not wire.lingering
 
+    @property
+    def heading(self) -> bool:
+        """Whether a head is coming in."""
+        return self.begun_at is not None and self.req is None and not self.machine.begun
+
     @property
     def stuck(self) -> bool:
         """Whether it is within a message, has an answer that it doesn't take, or lingers."""
@@ -140,6 +147,7 @@
         self.most_held = sockets // 6
         self.stays, self.own_paths = STAYS, True
         self.most_body, self.most_head = http.MOST_BODY, http.MOST_HEAD
+        self.heads = inf  # seconds that the head of a message may take, if fewer than the patience
         self.clients: dict[Client, None] = {}
         self.server: Listens | None = None
         self.stopping = False
@@ -208,7 +216,9 @@
         for client in list(self.clients):
             if now - client.busy_at > self.stays and client.free:
                 client.wire.stop(Ending.IDLE)
-            elif now - client.began > patience and client.stuck:
+                continue
+            within = min(self.heads, patience) if client.heading else patience
+            if now - client.began > within and client.stuck:
                 client.expel()
 
     def stop(self) -> None:
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -199,6 +199,7 @@
             self.front.stays = self.stays
         else:  # who has rested on the longer time's word may still do so to its end
             self.loop.call_later(before, self.shorten, self.stays)
+        self.front.heads = limits.header_timeout + 1
         self.front.most_head = limits.max_header_bytes
         self.front.most_body = min(limits.max_body_bytes, self.room_at_all // 8)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+from math import inf
+
 import pytest
 
 from loomstand.net.clients import Client
 from loomstand.proxy.program import Proxy
 from loomstand.simulation.cluster import FRONT, Cluster
+from loomstand.simulation.http_log import Broken, Talk
+from loomstand.simulation.loop import Life
+from loomstand.simulation.streams import Streams
 
 FIRST = {
     "max_header_bytes": 2048, "max_body_bytes": 4096, "header_timeout": "3000ms", "idle_timeout": "15000ms",
@@ -47,6 +53,31 @@
     assert asked(town, body=20_000)[0] == 413
 
 
+async def half_a_head(town: Cluster) -> float:
+    """Seconds until a client that stops within its first line is answered or cut off."""
+    talk = await Streams(town.cables, "10.9.9.9", Life()).open(Talk, town.front, 1.0)
+    began = town.loop.time()
+    talk.transport.write(b"GET /a/x HTTP/1.1\r\nHost: to")
+    try:
+        async with asyncio.timeout(30.0):
+            assert (await talk.message()).status == 408
+    except Broken:
+        pass
+    return town.loop.time() - began
+
+
+def test_a_head_that_does_not_come_is_waited_for_as_long_as_the_newest_limits_say(town):
+    assert 3.0 <= town.do(half_a_head(town)) <= 5.1  # a second more than said, looked at once a second
+    change(town, header_timeout="6000ms")
+    assert 6.0 <= town.do(half_a_head(town)) <= 8.1
+
+
+def test_it_is_caught_where_a_head_has_the_time_of_a_body(town):
+    """The mutation: the head's own time is not in force."""
+    town.proxy(town.front[0]).front.heads = inf
+    assert town.do(half_a_head(town)) > 5.1
+
+
 def test_who_rests_under_the_longer_idle_timeout_may_rest_to_its_end_and_no_longer_after(town):
     assert asked(town) == (200, False)
     change(town, idle_timeout="3000ms")
