--- a/loomstand/store/disk.py
+++ b/loomstand/store/disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import shutil
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -56,9 +57,26 @@
         if self.env is None:
             self.folder.mkdir(parents=True, exist_ok=True)
             # the system's disks grant locks that do nothing, and this is the only process that opens it
-            self.env = lmdb.open(str(self.folder), map_size=SIZE, lock=False, max_readers=4)
+            env = lmdb.open(str(self.folder), map_size=SIZE, lock=False, max_readers=4)
+            try:
+                self._names_last()
+            except OSError:
+                env.close()
+                raise
+            self.env = env
         return self.env
 
+    def _names_last(self) -> None:
+        """Syncs the folder and the one that it is in. lmdb syncs its file's bytes but not its name: after a
+        loss of power a new file could be gone, and all that was acknowledged in it. At each opening,
+        as the process that made it may have ended before its sync."""
+        for folder in (self.folder, self.folder.parent):
+            names = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+            try:
+                os.fsync(names)
+            finally:
+                os.close(names)
+
     def _load(self) -> dict[str, bytes]:
         try:
             with self._open().begin() as read:
