--- a/tests/alone.py
+++ b/tests/alone.py
@@ -12,8 +12,8 @@
 import pytest
 
 ALONE = {  # files whose tests open sockets or start processes that must keep up with real time
-    "test_ctl.py", "test_net.py", "test_peers.py", "test_rehearse.py", "test_scale_run.py",
-    "test_sites_processes.py",
+    "test_ctl.py", "test_net.py", "test_peers.py", "test_rehearse.py", "test_rpc.py",
+    "test_scale_run.py", "test_sites_processes.py",
 }  # fmt: skip
 SCOPE = "alone"
 
