--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from random import Random
 
 from absl import logging
 
 from loomstand import interface as i
 from loomstand.brain import Brain
+from loomstand.door import digest
 from loomstand.interface import Outcome
 from loomstand.net import http
 from loomstand.net.clients import Client, Front
@@ -16,6 +18,7 @@
 from loomstand.net.req import Flight, Req
 from loomstand.net.trunk import Trunk
 from loomstand.proxy.instance_view import InstanceView
+from loomstand.proxy.quota_credits import AGAIN, APART, CALLS, QuotaCredits
 from loomstand.proxy.recount import Told
 from loomstand.proxy.request import Dispatch, ProxyRequest
 from loomstand.proxy.sessions import Sessions
@@ -91,6 +94,8 @@
         self.held: dict[ProxyRequest, float] = {}  # wait for the start's end, since
         self.brain = self.begin()
         self.told = Told()
+        self.credits = QuotaCredits(settings.bounds, rng.getrandbits(32), self.begun)
+        self.short = asyncio.Event()  # a tenant's credits run short
         self.counting_tasks: set[asyncio.Task[None]] = set()
 
     def begin(self) -> Brain:
@@ -108,7 +113,9 @@
         logging.info("listens")
         self.sessions.start()
         self.loop.call_later(1.0, self.sweep)
+        crediting = self.loop.create_task(self.crediting())
         await self.stopped.wait()
+        crediting.cancel()
         await self.sessions.stop()
         self.readiness.stop()
 
@@ -174,6 +181,7 @@
         fleet = Fleet(me, max(1, many), silent)
         if fleet != self.fleet:
             self.fleet = fleet
+            self.credits.limiters(fleet.all)
             self.rule()
 
     def configured(self, version: int, data: bytes) -> bool:
@@ -185,6 +193,8 @@
             return False
         self.terms.learn(configuration)
         self.table = Table.of(configuration)
+        self.credits.learn({digest(t.name): t for t in configuration.tenants or () if t.rate > 0})
+        self.short.set()
         self.bound(configuration.limits)
         self.rule()
         self.look()
@@ -201,6 +211,7 @@
     def full(self, totals: list[list[float]]) -> None:
         """Tenants near the brim of their quota, by the names of their counts."""
         for name, total in totals:
+            self.credits.full(int(name) >> SLOTS, self.loop.time())
             plan = self.terms.by_digest.get(int(name) >> SLOTS)
             if plan is not None:
                 self.note(i.Told(int(name), float(total), plan, plan, int(name) >> SLOTS))
@@ -233,7 +244,7 @@
         """A request has come: if nothing is wrong with it, it is owed one answer from here on."""
         req = ProxyRequest(machine)
         req.client, client.req = client, req
-        if self.table is None or not self.staffed(req):
+        if self.table is None or not self.staffed(req) or not self.granted(req):
             self.hold(req, at)
         else:
             self.admit(req, at)
@@ -247,9 +258,13 @@
             return True
         return any(weight > 0 and self.by_service.get(service) for service, weight in route.split)
 
+    def granted(self, req: ProxyRequest) -> bool:
+        """Whether the first credits have come, for a request that may need one."""
+        return self.credits.answered or self.loop.time() - self.begun > SETTLED or not self.credits.credits
+
     def hold(self, req: ProxyRequest, at: float) -> None:
-        """At a start the configuration and the first heartbeats are under way: a request waits for them, as
-        all limiters would refuse it alike."""
+        """At a start the configuration, the first heartbeats and credits are under way: a request waits for
+        them, as all limiters would refuse it alike."""
         self.held[req] = at
         most = HOLD if req.wait is None else min(HOLD, req.wait / 2000)
         self.loop.call_later(most, self.release, req)
@@ -261,8 +276,9 @@
 
     def settle(self) -> None:
         """Something came that held requests wait for."""
-        for req in [r for r in self.held if r.client is None or (self.table is not None and self.staffed(r))]:
-            self.release(req)
+        for req in [*self.held]:
+            if req.client is None or (self.table is not None and self.staffed(req) and self.granted(req)):
+                self.release(req)
 
     def admit(self, req: ProxyRequest, at: float) -> None:
         """Nothing is wrong with it, or it is answered at once."""
@@ -279,17 +295,29 @@
             if req.tenant is None:
                 self.answer(req, 401)
                 return
+        plan = self.terms.tenants.at(req.tenant.name) if req.tenant else 0
+        front, name = self.terms.by_route[req.route.name], self.terms.digests[plan]
+        now = self.loop.time()
+        may = self.credits.may(name, now)
+        if self.credits.due(name, now):
+            self.short.set()
+        if not may:
+            wait = self.credits.wait(name, now)
+            self.answer(req, 429, extra=f"Retry-After: {wait:.3f}\r\n")
+            return
         if not self.room.take(len(req.body)):
             self.answer(req, 503, extra=f"Retry-After: {FEW}\r\n")
             return
         req.service = self.service(table, req)
-        plan = self.terms.tenants.at(req.tenant.name) if req.tenant else 0
         self.owed(req, req.client, req.timeout(), at)
-        front, digest = self.terms.by_route[req.route.name], self.terms.digests[plan]
         at_service = self.terms.services.at(req.service)
         self.note(
-            i.Arrived(req.id, front, plan, plan, digest, req.give_up, 1.0, 0, False, service=at_service)
+            i.Arrived(req.id, front, plan, plan, name, req.give_up, 1.0, 0, False, service=at_service)
         )
+        if req.flights:  # the module let it in
+            self.credits.used(name, now)
+            if self.credits.due(name, now):
+                self.short.set()
 
     def service(self, table: Table, req: ProxyRequest) -> str:
         """One of the route's services by weight; where that has no server, another that the route allows."""
@@ -336,6 +364,29 @@
         total = float(got.ok["total"]) if outcome is Outcome.PASSED else 0.0
         self.counted(act.name, outcome, total, self.now() - asked)
 
+    async def crediting(self) -> None:
+        """Asks the counter for credits, one call at a time: when some run short, else to keep them good."""
+        while True:
+            self.short.clear()
+            sent = self.loop.time()
+            number, alone, entries = self.credits.call(sent)
+            said = {
+                "name": self.conf.node_name, "life": self.credits.life, "number": number, "alone": alone,
+                "entries": entries,
+            }  # fmt: skip
+            got = await self.sessions.count(said, COUNT_WITHIN / 1000, "grant")
+            if got.is_ok():
+                pause, more = APART, got.ok.get("grants")
+                if self.credits.granted(sent, self.loop.time(), int(got.ok["number"]), more):
+                    continue
+                self.settle()
+            else:
+                pause = AGAIN
+            await asyncio.sleep(pause)
+            if got.is_ok() and not self.short.is_set():
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.short.wait(), CALLS - pause)
+
     # the module
 
     def flight(self, req: Req, srv: int, expire: int) -> Flight:
--- a/loomstand/proxy/sessions.py
+++ b/loomstand/proxy/sessions.py
@@ -169,8 +169,8 @@
                 self.version, self.data = version, data
                 logging.info("configuration r%d in force", version)
 
-    async def count(self, body: dict[str, Any], within: float) -> Result[Body, Verdict]:
+    async def count(self, body: dict[str, Any], within: float, op: str = "count") -> Result[Body, Verdict]:
         """A call to the counter, wherever it is."""
         if not (said := self.stand(self.counters) or [*self.counters.values()]):
             return Error(Verdict.NEVER_RAN)
-        return await self.network.call(max(said)[1], "count", body, within)
+        return await self.network.call(max(said)[1], op, body, within)
--- a/loomstand/proxy/terms.py
+++ b/loomstand/proxy/terms.py
@@ -6,14 +6,12 @@
 
 from loomstand.door import Door, digest, down
 from loomstand.interface import Effect, Frontend, Group, Plan, Settings
+from loomstand.registry.quota_grants import ALONE
 from loomstand.shared.configuration import Configuration, Route, Tenant
 from loomstand.shared.settings import Bounds
 
 # Late answers have a worth that the configuration doesn't tell: a tenth and three tenths at the sites known.
 LATE = 0.15
-# Parts are scaled down while limiters are cut off and may go on with theirs, but not below this: tenants use
-# some six tenths of their quotas, and where more limiters are gone most were killed and hold nothing.
-LEAST_SCALE = 0.7
 # A total is trusted for a customer well under its quota for so many intervals. Use beyond the quota breaks a
 # rule here, so the last split takes over as soon as one total is missing.
 TRUST = 1.5
@@ -77,7 +75,7 @@
 
     def settings(self, fleet: Fleet, shift: int = 0) -> Settings:
         """The module's settings, as a snapshot; `shift` of its clock to the one that all count by."""
-        scale = max(LEAST_SCALE, 1 - fleet.silent / fleet.all)
+        scale = 1 - ALONE * fleet.silent / fleet.all
         plans = []
         for n in range(self.tenants.next):
             tenant = self.quotas.get(n)
--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -21,6 +21,7 @@
 from loomstand.registry.limiters import LimiterTable
 from loomstand.registry.matchers import Asked, method, path, query
 from loomstand.registry.quota_buckets import QuotaBuckets
+from loomstand.registry.quota_grants import QuotaGrants
 from loomstand.registry.rescue import rescue
 from loomstand.rpc.network import Address, Body, Network
 from loomstand.shared.configuration import ConfigurationError, parse
@@ -49,6 +50,8 @@
         self.instances, self.limiters = InstanceTable(settings.heartbeat), LimiterTable()
         self.counters = Counters(0)
         self.quota_buckets = QuotaBuckets()
+        self.grants = QuotaGrants(settings.bounds)
+        self.empty_at = -SETTLED  # when the store last said that there never was a configuration
         self.common = Clock((time.time() if wall is None else wall) - clock())
         self.own: dict[str, int] = {}  # the servers that spoke here lately, with their sequence
         self.rng = Random(self.life)
@@ -86,8 +89,8 @@
             }
         )
         self.ops = {
-            "ask": self.ask, "fetch": self.fetch, "count": self.count, "bye": self.bye, "offer": self.offer,
-            "tell": self.told, "whole": self.whole,
+            "ask": self.ask, "fetch": self.fetch, "count": self.count, "grant": self.grant, "bye": self.bye,
+            "offer": self.offer, "tell": self.told, "whole": self.whole,
         }  # fmt: skip
 
     # life
@@ -215,6 +218,16 @@
             self.wake()
         return {"total": total, "counts": self.counters.number} | ({"young": True} if young else {})
 
+    async def grant(self, body: Body) -> Body:
+        """A limiter's call for credits."""
+        now = self.clock()
+        if not self.holding.counts(now):
+            raise Refused("another counts")
+        name, life, number = str(body["name"]), int(body["life"]), int(body["number"])
+        self.grants.tick(now, self.limiters.ranks)
+        grants = self.grants.call(name, life, number, bool(body["alone"]), body["entries"], now)
+        return {"number": self.grants.number} | ({} if grants is None else {"grants": grants})
+
     async def bye(self, body: Body) -> Body:
         self.limiters.ended(str(body["name"]), self.clock())
         self.heed()
@@ -276,6 +289,7 @@
             now = self.clock()
             self.limiters.sweep(now)
             self.counters.sweep(now)
+            self.grants.sweep(now, self.limiters.ranks)
             if self.instances.sweep(now):
                 self.wake()
             self.heed()
@@ -357,8 +371,10 @@
             self.fact()
         if self.holding.gap and not self.holding.counts(self.clock()):
             self.holding.gap = False
-            self.counters = Counters(self.rng.getrandbits(24), self.clock() > self.settled)
+            now = self.clock()
+            self.counters = Counters(self.rng.getrandbits(24), now > self.settled)
             self.quota_buckets.anew()
+            self.grants.anew(self.counters.number, now, now - self.empty_at < SETTLED)
         if before != (self.holding.primary, self.holding.term):
             self.turn.set()
 
@@ -369,6 +385,8 @@
             logging.info("configuration r%d held", self.version)
             self.quotas()
             self.wake()
+        if int(said["version"]) == 0 == self.version and said.get("ready") and said.get("primary"):
+            self.empty_at = self.clock()
         if int(said["version"]) < self.version and not self.offering:
             self.offering = True  # its store has lost it, and may be the one that is asked what is left
             self.spawn(self.give())
@@ -390,7 +408,9 @@
 
     def quotas(self) -> None:
         try:
-            self.quota_buckets.learn(parse(self.data).tenants or ())
+            tenants = parse(self.data).tenants or ()
+            self.quota_buckets.learn(tenants)
+            self.grants.learn(tenants, self.holding.counts(self.clock()))
         except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
             logging.error("configuration r%d can't be used: %s", self.version, why)
 
--- /dev/null
+++ b/loomstand/registry/quota_grants.py
@@ -0,0 +1,157 @@
+"""Grants of quota: what a limiter may let in is charged to the tenant's bucket before it is used.
+
+Parts that limiters take by themselves sum to more than the quota as soon as limiters start, are cut off, or
+a counter moves. Here the counting registry keeps each tenant's bucket, and hands out *credits* from it: a
+limiter lets in no more than it holds. So whatever limiters do with them, and whoever of them is killed, in
+any window there come no more than `depth` + rate x window. A counter that begins has full buckets: it grants
+by the rate alone, as it doesn't know what the one before it granted. Pure: the clock is given.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from loomstand.door import digest
+from loomstand.shared.configuration import Tenant
+from loomstand.shared.settings import Bounds
+
+# A limiter without word of the counter admits this share of its even part: calm tenants use some six tenths
+# of their quotas. The counter leaves as much to those that it doesn't hear; with six in ten of them killed
+# the others keep 0.64 of the rate.
+ALONE = 0.6
+# Seconds after its last answered call for which a limiter lives on its credits alone; the counter takes it to
+# go by itself as long after its last call. Both count from the same call, so the two shares don't overlap.
+SILENT = 0.8
+# Seconds for which credits are good after the last answered call, and for which the counter holds them.
+GOOD, HELD = 1.5, 2.5
+# Of what a rule lets run beyond rate and burst this share is in the buckets; the rest is for what can't be
+# charged: limiters that went alone unheard, clocks that differ by some percent.
+SHARE = 0.5
+# Buckets of less than so many credits a limiter can't be shared out ahead: such a tenant's are *open* while
+# they are less than half full, and each limiter lets one request in before it tells.
+FEW = 1.5
+
+
+def depth(rate: float, burst: float, bounds: Bounds) -> float:
+    """Requests of a tenant that may come beyond its rate, as credits are charged."""
+    more = bounds.quota_overshoot * (rate * bounds.quota_window + burst) + bounds.quota_slack
+    return max(1.0, burst) + SHARE * more
+
+
+@dataclass(slots=True)
+class Bucket:
+    """`level`: charged and not leaked; never under what is `held` at limiters, as that may be used at any
+    time. `at` is in the time by which buckets leak."""
+
+    rate: float
+    depth: float
+    level: float
+    at: float
+    held: dict[str, float] = field(default_factory=dict)
+
+    def leak(self, at: float) -> None:
+        self.level = max(sum(self.held.values()), self.level - self.rate * (at - self.at))
+        self.at = at
+
+
+@dataclass(slots=True)
+class Caller:
+    life: int
+    at: float  # its last call
+    good: float  # its last call in which it didn't go alone
+
+
+class QuotaGrants:
+    """All tenants' buckets, and the limiters that call. `number` is another one where they begin anew."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.number = 0
+        self.buckets: dict[int, Bucket] = {}
+        self.callers: dict[str, Caller] = {}
+        self.many, self.scale = 1, 1.0 - ALONE
+        self.time, self.at = 0.0, 0.0  # buckets' time runs slower while limiters go alone
+
+    def anew(self, number: int, now: float, unused: bool = False) -> None:
+        """Counts begin anew: buckets are full, as the one before may have granted all. `unused`: there was
+        no configuration until now, so nobody was granted anything."""
+        self.number, self.callers, self.at = number, {}, now
+        for bucket in self.buckets.values():
+            bucket.held = {}
+            bucket.level, bucket.at = 0.0 if unused else bucket.depth, self.time
+
+    def learn(self, tenants: Iterable[Tenant], counts: bool) -> None:
+        """Other quotas. A bucket keeps its level, at most full; one that wasn't there while this registry
+        counts is empty."""
+        before, self.buckets = self.buckets, {}
+        for tenant in tenants:
+            if tenant.rate <= 0:
+                continue
+            name, most = digest(tenant.name), depth(tenant.rate, tenant.burst, self.bounds)
+            old = before.pop(name, None) or Bucket(0.0, most, 0.0 if counts else most, self.time)
+            old.leak(self.time)
+            old.rate, old.depth, old.level = tenant.rate, most, min(old.level, most)
+            self.buckets[name] = old
+        for name, old in before.items():  # tenants that went may come back
+            old.leak(self.time)
+            if old.level > 0:
+                self.buckets[name] = old
+
+    def tick(self, now: float, known: Iterable[str]) -> None:
+        """Buckets leak by the rate less what limiters may take that go alone: `known`, or callers once."""
+        self.time += self.scale * max(0.0, now - self.at)
+        names = {*known, *self.callers}
+        gone = sum(name not in self.callers or now - self.callers[name].good > SILENT for name in names)
+        self.many, self.at = max(1, len(names)), now
+        self.scale = 1.0 - ALONE * gone / self.many
+
+    def sweep(self, now: float, known: Iterable[str]) -> None:
+        """Drops what limiters held that called long ago, and those that nobody knows any more."""
+        there = {*known}
+        for name, caller in list(self.callers.items()):
+            if now - caller.at > HELD:
+                for bucket in self.buckets.values():
+                    bucket.held.pop(name, None)
+                if name not in there:
+                    del self.callers[name]
+
+    def call(
+        self, name: str, life: int, number: int, alone: bool, entries: Iterable[list[float]], now: float
+    ) -> list[list[float]] | None:
+        """A limiter's call: by tenant's digest what it holds, what it let in while open and untold, and what
+        it wants. Answers [digest, granted, whether open]; None if it went by another's grants: it must tell
+        all that it holds under this number."""
+        caller = self.callers.get(name)
+        if caller is None or caller.life != life:
+            for bucket in self.buckets.values():  # its former life's are lost with it
+                bucket.held.pop(name, None)
+            caller = self.callers[name] = Caller(life, now, now - 2 * SILENT)
+        caller.at = now
+        if number != self.number:
+            return None
+        if not alone:
+            caller.good = now
+        found = []
+        for which, left, spent, want in entries:
+            bucket = self.buckets.get(int(which))
+            if bucket is None:
+                continue
+            bucket.leak(self.time)
+            bucket.held[name] = left
+            bucket.level = max(bucket.level + spent, sum(bucket.held.values()))
+            opened = bucket.depth < FEW * self.many and bucket.level < bucket.depth / 2
+            granted = 0.0 if opened else self.grant(bucket, name, left, want)
+            found.append([int(which), granted, int(opened)])
+        return found
+
+    def grant(self, bucket: Bucket, name: str, left: float, want: float) -> float:
+        """Whole requests: fractions at many limiters would let nobody in. Where less than half is left, only
+        whoever holds none gets some."""
+        free = bucket.depth - bucket.level
+        if free < 1 or (left >= 1 and free < bucket.depth / 2):
+            return 0.0
+        granted = float(int(min(want, max(1.0, 2 * free / self.many))))
+        bucket.held[name] = left + granted
+        bucket.level += granted
+        return granted
--- a/loomstand/simulation/faults.py
+++ b/loomstand/simulation/faults.py
@@ -1,6 +1,6 @@
 """What may befall a town, each drawn from a random generator and over when its method returns.
 
-Kinds of limiters: proxy, herd, term, part, freeze_proxy, slow_proxy, step. Of the core: core, registry,
+Kinds of limiters: proxy, herd, term, part, freeze_proxy, slow_proxy, step, roll. Of the core: core, registry,
 freeze_core, cut, disk, step_core, slow_core, all_core, lossy. Of servers: server, trouble, wave, swap,
 leave, release.
 `alone` cuts any machine off from everyone, `freeze` stops any process. All but those of servers leave their
@@ -20,6 +20,8 @@
 from loomstand.simulation.workload import Server
 
 LIMITERS = ["proxy", "herd", "herd", "term", "part", "part", "part", "freeze_proxy", "slow_proxy", "step"]
+# Of dense days, on which several of these go on at once.
+DENSE = [*LIMITERS, "roll", "roll", "herd", "step", "part"]
 CORES = [
     "core",
     "core",
@@ -34,6 +36,8 @@
     "lossy",
 ]
 SERVERS = ["server", "trouble", "swap", "wave", "wave", "leave", "leave", "release"]
+GAP = 0.7  # s between two steps of a rolling stop
+STOPS = 6.0  # s after which a program that was told to stop is killed
 LEAVES = 3.0  # s that a server goes on after its drain was acknowledged: `drain` and a little more
 
 
@@ -85,8 +89,13 @@
         for host in hosts:
             host.power_off(wipe) if off else host.kill()
         await self.last()
+        self.back(hosts)
+
+    def back(self, hosts: list[Host]) -> None:
+        """Those that other trouble hasn't started meanwhile."""
         for host in hosts:
-            host.start()
+            if not host.up:
+                host.start()
 
     async def proxy(self) -> None:
         ip = self.rng.choice([*self.town.proxies])
@@ -104,6 +113,23 @@
             await self.town.proxies[ip].end()
             self.town.proxies[ip].start()
 
+    async def roll(self) -> None:
+        """Most limiters are told to stop, two at a time, and start again."""
+        ips, rolls = self.some(0.6, 1.0), []
+        for n in range(0, len(ips), 2):
+            rolls.append(asyncio.ensure_future(self.replaced(ips[n : n + 2])))
+            await asyncio.sleep(GAP)
+        await asyncio.gather(*rolls)
+
+    async def replaced(self, ips: list[str]) -> None:
+        hosts = [self.town.proxies[ip] for ip in ips]
+        async with self.span("started", "rolled", ips):
+            if ends := [asyncio.ensure_future(host.end()) for host in hosts if host.up]:
+                await asyncio.wait(ends, timeout=STOPS)
+            for host in hosts:
+                host.kill()
+            self.back(hosts)
+
     async def step(self) -> None:
         """The time of day jumps, and the programs read it anew."""
         ips = self.some(0.1, 0.3)
--- a/loomstand/simulation/hunt.py
+++ b/loomstand/simulation/hunt.py
@@ -105,6 +105,7 @@
     parser.add_argument("--seed", type=int, default=1, help="of the first day; the others follow by one")
     parser.add_argument("--limiters", type=whole, default=12)
     parser.add_argument("--quotas", type=float, default=1.0, help="times the usual ones, as sites grow")
+    parser.add_argument("--dense", action="store_true", help="several troubles at once, within seconds")
     parser.add_argument("--jobs", type=whole, default=4, help="processes side by side")
     parser.add_argument("--json", metavar="FILE", help="all days' figures")
     parser.add_argument("--plot", metavar="PNG", help="each day's worst over its allowed")
@@ -113,7 +114,7 @@
     for path in (asked.json, asked.plot):  # rather than after all days were played
         if path and not Path(path).resolve().parent.is_dir():
             parser.error(f"{path}: its folder isn't there")
-    setup = Setup(limiters=asked.limiters, quotas=asked.quotas)
+    setup = Setup(limiters=asked.limiters, quotas=asked.quotas, dense=asked.dense)
     if asked.day is not None:
         history, bounds = Day(asked.day, setup).play()
         figures = judge(history, bounds)
--- a/loomstand/simulation/scenario.py
+++ b/loomstand/simulation/scenario.py
@@ -11,7 +11,7 @@
 from loomstand.shared.settings import Bounds
 from loomstand.simulation.bounds import Change, History, Ran
 from loomstand.simulation.cluster import Cluster
-from loomstand.simulation.faults import CORES, LIMITERS, SERVERS, Faults
+from loomstand.simulation.faults import CORES, DENSE, LIMITERS, SERVERS, Faults
 
 LOOK = 0.01  # s between looks at who serves and who counts
 # s of calm at the end: what is under way comes into force, or is late beyond every bound.
@@ -26,13 +26,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Setup:
-    """The size of a day: `length` in seconds; `cores` 0 draws 3 or 4; `quotas` is a factor on RATES."""
+    """The size of a day: `length` in seconds; `cores` 0 draws 3 or 4; `quotas` is a factor on RATES. `dense`:
+    troubles come within seconds of each other, several at once, with two tenants hot and quotas lowered."""
 
     limiters: int = 12
     cores: int = 0
     length: float = 36.0
     servers: int = 5
     quotas: float = 1.0
+    dense: bool = False
 
 
 @dataclass(slots=True)
@@ -93,6 +95,8 @@
     def lanes(self, until: float) -> list[Coroutine[Any, Any, None]]:
         """What happens, side by side."""
         rng = self.rng
+        if self.setup.dense:
+            return self.dense(until)
         # a third of the days spare the limiters or the core: bounds in touch need calm to be tested
         lanes = [self.lane(until, 0.5, 3.0, lambda: self.troubles.one(SERVERS))]
         lanes += [self.lane(until, 1.0, 4.0, self.order), self.lane(until, 0.5, 4.0, self.heat)]
@@ -104,6 +108,14 @@
             lanes.append(self.lane(until, 0.2, gap, lambda: self.troubles.one(CORES)))
         return lanes
 
+    def dense(self, until: float) -> list[Coroutine[Any, Any, None]]:
+        lanes = [self.lane(until, 0.0, 1.0, self.heat), self.lane(until, 0.0, 1.0, self.heat)]
+        for gap in (0.5, 1.0, 2.0):
+            lanes.append(self.lane(until, 0.0, gap, lambda: self.troubles.one(DENSE)))
+        lanes.append(self.lane(until, 0.5, 4.0, lambda: self.troubles.one(CORES)))
+        lanes.append(self.lane(until, 0.5, 3.0, lambda: self.troubles.one(SERVERS)))
+        return [*lanes, self.lane(until, 0.3, 2.0, self.order)]
+
     async def lane(
         self, until: float, low: float, high: float, what: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
