Quota grants: a counter that begins has a fourth of the leeway free; starts wait for a credit

Change: depth is the burst and 0.4 of the leeway, a counter that begins has 0.25 of it free; a request that meets a starting limiter waits a fifth of its aim for a credit.

--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -50,6 +50,9 @@
 # A request that meets a starting limiter waits so many seconds at most, and half of its client's time: when
 # all start at once the configuration comes within 0.6 s, and servers' heartbeats 1.5 s apart.
 HOLD = 0.8
+# After a start of all, the counter too, credits come by the rate alone: a request waits for one for less than
+# the quarter of its route's aim in which nothing is lost by it.
+OFFERED = 0.2
 SETTLED = 4.0  # seconds after its start by when a limiter knows all servers that there are
 QUOTA = {"full count", "old total", "ceiling"}
 PHASES = {READY: i.Phase.LIVE, DRAINING: i.Phase.DRAINING, SILENT: i.Phase.DRAINING, GONE: i.Phase.GONE}
@@ -262,25 +265,31 @@
         """Whether the first credits have come, for a request that may need one."""
         return self.credits.answered or self.loop.time() - self.begun > SETTLED or not self.credits.credits
 
-    def hold(self, req: ProxyRequest, at: float) -> None:
+    def lacks(self, req: ProxyRequest) -> bool:
+        """Whether it waits for a credit."""
+        name = digest(req.tenant.name) if req.tenant else 0
+        return bool(name) and not self.credits.has(name, self.loop.time())
+
+    def hold(self, req: ProxyRequest, at: float, most: float = HOLD) -> None:
         """At a start the configuration, the first heartbeats and credits are under way: a request waits for
         them, as all limiters would refuse it alike."""
         self.held[req] = at
-        most = HOLD if req.wait is None else min(HOLD, req.wait / 2000)
+        most = most if req.wait is None else min(most, req.wait / 2000)
         self.loop.call_later(most, self.release, req)
 
     def release(self, req: ProxyRequest) -> None:
         at = self.held.pop(req, None)
         if at is not None and req.client is not None:
-            self.admit(req, at)
+            self.admit(req, at, True)
 
     def settle(self) -> None:
         """Something came that held requests wait for."""
         for req in [*self.held]:
-            if req.client is None or (self.table is not None and self.staffed(req) and self.granted(req)):
+            waits = self.table is None or not self.staffed(req) or not self.granted(req) or self.lacks(req)
+            if req.client is None or not waits:
                 self.release(req)
 
-    def admit(self, req: ProxyRequest, at: float) -> None:
+    def admit(self, req: ProxyRequest, at: float, waited: bool = False) -> None:
         """Nothing is wrong with it, or it is answered at once."""
         table = self.table
         if table is None:
@@ -301,6 +310,9 @@
         may = self.credits.may(name, now)
         if self.credits.due(name, now):
             self.short.set()
+        if not may and not waited and now - self.begun < SETTLED:
+            self.hold(req, at, OFFERED * req.route.target_latency)
+            return
         if not may:
             wait = self.credits.wait(name, now)
             self.answer(req, 429, extra=f"Retry-After: {wait:.3f}\r\n")
--- a/loomstand/proxy/quota_credits.py
+++ b/loomstand/proxy/quota_credits.py
@@ -16,7 +16,8 @@
 from loomstand.shared.settings import Bounds
 
 LEAST = 2.0  # credits that are held of a tenant that asks little: requests often come in pairs
-AHEAD = 0.3  # and the seconds of its requests lately beside: a call takes some ms, and comes 20 ms apart
+# and the seconds of its requests lately beside: a call takes some ms, a counter that moves a second
+AHEAD = 1.2
 PACE = 1.0  # seconds over which its requests are smoothed
 CALLS = 0.4  # seconds between calls at the most: half of SILENT
 APART = 0.02  # and at the least
@@ -119,6 +120,10 @@
         credit.came(now)
         return bool(self.source(credit, now))
 
+    def has(self, name: int, now: float) -> bool:
+        """As `may`, of one that came before."""
+        return (credit := self.credits.get(name)) is None or bool(self.source(credit, now))
+
     def used(self, name: int, now: float) -> None:
         """It was."""
         credit = self.credits.get(name)
@@ -177,6 +182,7 @@
         if number != self.number or grants is None:
             self.number, self.told_all = number, False
             return True
+        again = self.alone(now)  # the counter must hear that it isn't any more
         self.heard, self.told_all, self.answered = max(self.heard, sent), True, True
         for which, granted, opened in grants:
             credit = self.credits.get(int(which))
@@ -191,4 +197,4 @@
                 credit.hungry_at = now + STARVED
             else:
                 credit.hungry_at = -inf
-        return False
+        return again
--- a/loomstand/registry/quota_grants.py
+++ b/loomstand/registry/quota_grants.py
@@ -3,8 +3,8 @@
 Parts that limiters take by themselves sum to more than the quota as soon as limiters start, are cut off, or
 a counter moves. Here the counting registry keeps each tenant's bucket, and hands out *credits* from it: a
 limiter lets in no more than it holds. So whatever limiters do with them, and whoever of them is killed, in
-any window there come no more than `depth` + rate x window. A counter that begins has full buckets: it grants
-by the rate alone, as it doesn't know what the one before it granted. Pure: the clock is given.
+any window there come no more than `depth` + rate x window. A counter that begins doesn't know what the one
+before it granted: it has nearly full buckets, and grants by the rate. Pure: the clock is given.
 """
 
 from __future__ import annotations
@@ -25,9 +25,11 @@
 SILENT = 0.8
 # Seconds for which credits are good after the last answered call, and for which the counter holds them.
 GOOD, HELD = 1.5, 2.5
-# Of what a rule lets run beyond rate and burst this share is in the buckets; the rest is for what can't be
-# charged: limiters that went alone unheard, clocks that differ by some percent.
-SHARE = 0.5
+# Of what a rule lets run beyond rate and burst this share is in the buckets.
+SHARE = 0.4
+# And this share is free at a counter that begins, whatever the one before it granted: two may begin within a
+# window. The rest is for what can't be charged: limiters that went alone unheard, clocks that differ.
+BEGINS = 0.25
 # Buckets of less than so many credits a limiter can't be shared out ahead: such a tenant's are *open* while
 # they are less than half full, and each limiter lets one request in before it tells.
 FEW = 1.5
@@ -35,8 +37,12 @@
 
 def depth(rate: float, burst: float, bounds: Bounds) -> float:
     """Requests of a tenant that may come beyond its rate, as credits are charged."""
-    more = bounds.quota_overshoot * (rate * bounds.quota_window + burst) + bounds.quota_slack
-    return max(1.0, burst) + SHARE * more
+    return max(1.0, burst) + SHARE * leeway(rate, burst, bounds)
+
+
+def leeway(rate: float, burst: float, bounds: Bounds) -> float:
+    """What may run beyond rate x window + burst."""
+    return bounds.quota_overshoot * (rate * bounds.quota_window + burst) + bounds.quota_slack
 
 
 @dataclass(slots=True)
@@ -46,6 +52,7 @@
 
     rate: float
     depth: float
+    first: float  # the level at a counter that begins
     level: float
     at: float
     held: dict[str, float] = field(default_factory=dict)
@@ -79,7 +86,7 @@
         self.number, self.callers, self.at = number, {}, now
         for bucket in self.buckets.values():
             bucket.held = {}
-            bucket.level, bucket.at = 0.0 if unused else bucket.depth, self.time
+            bucket.level, bucket.at = 0.0 if unused else bucket.first, self.time
 
     def learn(self, tenants: Iterable[Tenant], counts: bool) -> None:
         """Other quotas. A bucket keeps its level, at most full; one that wasn't there while this registry
@@ -89,9 +96,10 @@
             if tenant.rate <= 0:
                 continue
             name, most = digest(tenant.name), depth(tenant.rate, tenant.burst, self.bounds)
-            old = before.pop(name, None) or Bucket(0.0, most, 0.0 if counts else most, self.time)
+            first = most - BEGINS * leeway(tenant.rate, tenant.burst, self.bounds)
+            old = before.pop(name, None) or Bucket(0.0, most, first, 0.0 if counts else first, self.time)
             old.leak(self.time)
-            old.rate, old.depth, old.level = tenant.rate, most, min(old.level, most)
+            old.rate, old.depth, old.first, old.level = tenant.rate, most, first, min(old.level, most)
             self.buckets[name] = old
         for name, old in before.items():  # tenants that went may come back
             old.leak(self.time)
@@ -146,10 +154,10 @@
         return found
 
     def grant(self, bucket: Bucket, name: str, left: float, want: float) -> float:
-        """Whole requests: fractions at many limiters would let nobody in. Where less than half is left, only
-        whoever holds none gets some."""
+        """Whole requests: fractions at many limiters would let nobody in. Where less than a fourth is left,
+        only whoever holds none gets some."""
         free = bucket.depth - bucket.level
-        if free < 1 or (left >= 1 and free < bucket.depth / 2):
+        if free < 1 or (left >= 1 and free < bucket.depth / 4):
             return 0.0
         granted = float(int(min(want, max(1.0, 2 * free / self.many))))
         bucket.held[name] = left + granted
