Quota grants: what limiters hold unheard keeps buckets from emptying; open tenants close by their buckets

Cause: own shares of limiters that are cut off and credits of a counter before were not in the buckets; the word of a tenant near its brim closed small quotas at a quarter of theirs. Change: QuotaGrants.unheard, the third figure of a word, places held for 30 s.

--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -212,9 +212,11 @@
         self.front.most_body = min(limits.max_body_bytes, self.room_at_all // 8)
 
     def full(self, totals: list[list[float]]) -> None:
-        """Tenants near the brim of their quota, by the names of their counts."""
-        for name, total in totals:
-            self.credits.full(int(name) >> SLOTS, self.loop.time())
+        """Tenants near the brim of their quota, by the names of their counts; those whose bucket is half full
+        are let in by credits alone."""
+        for name, total, *closed in totals:
+            if any(closed):
+                self.credits.full(int(name) >> SLOTS, self.loop.time())
             plan = self.terms.by_digest.get(int(name) >> SLOTS)
             if plan is not None:
                 self.note(i.Told(int(name), float(total), plan, plan, int(name) >> SLOTS))
--- a/loomstand/proxy/quota_credits.py
+++ b/loomstand/proxy/quota_credits.py
@@ -15,15 +15,18 @@
 from loomstand.shared.configuration import Tenant
 from loomstand.shared.settings import Bounds
 
-LEAST = 2.0  # credits that are held of a tenant that asks little: requests often come in pairs
+# Credits that are held of a tenant that asks little, as requests often come in pairs; more where a limiter's
+# part of this share of the bucket is more.
+LEAST, IDLE = 2.0, 0.33
 # and the seconds of its requests lately beside: a call takes some ms, a counter that moves a second
 AHEAD = 1.2
+MORE = 0.5  # of what is to be held: more is asked for when no more than this is left
 PACE = 1.0  # seconds over which its requests are smoothed
 CALLS = 0.4  # seconds between calls at the most: half of SILENT
 APART = 0.02  # and at the least
 AGAIN = 0.1  # after one that failed
 STARVED = 0.05  # after which a tenant that got nothing is asked for again
-CLOSED = 0.5  # for which a word that a tenant is near its brim closes it, until the counter's next answer
+CLOSED = 1.0  # for which a word that a tenant is near its brim closes it
 # Seconds alone after which the part shrinks to DIM of it: the counter forgets a limiter after 30 s, and goes
 # on without it.
 LONG, DIM = 25.0, 0.2
@@ -38,7 +41,6 @@
     depth: float
     left: float = 0.0
     spent: float = 0.0
-    open: bool = True
     closed_until: float = 0.0
     own: float = 0.0
     own_at: float = 0.0
@@ -51,8 +53,9 @@
         self.pace = self.pace * exp((self.pace_at - now) / PACE) + 1 / PACE
         self.pace_at = now
 
-    def most(self, now: float) -> float:
-        return LEAST + AHEAD * self.pace * exp((self.pace_at - now) / PACE)
+    def most(self, now: float, many: int) -> float:
+        """What is to be held of it."""
+        return max(LEAST, IDLE * self.depth / many) + AHEAD * self.pace * exp((self.pace_at - now) / PACE)
 
 
 class QuotaCredits:
@@ -91,6 +94,10 @@
         """Whether the tenant's quota can't be shared out ahead."""
         return credit.depth < FEW * self.many
 
+    def open(self, credit: Credit, now: float) -> bool:
+        """Whether a request may be let in before it is told."""
+        return self.few(credit) and now >= credit.closed_until
+
     def roll(self, credit: Credit, now: float) -> None:
         """What comes of the even share, from when it went alone; none is kept when it is back."""
         if not self.alone(now):
@@ -107,8 +114,7 @@
         if now - self.heard <= GOOD:
             if credit.left >= 1:
                 return "left"
-            opened = credit.open and now >= credit.closed_until and self.few(credit)
-            if opened and credit.spent < 1 and self.answered:
+            if self.open(credit, now) and credit.spent < 1 and self.answered:
                 return "spent"
         return "own" if credit.own >= 1 else ""
 
@@ -150,13 +156,10 @@
     # calls
 
     def wants(self, credit: Credit, now: float) -> float:
-        most = credit.most(now)
+        most = credit.most(now, self.many)
         if self.few(credit):
-            most = 0.0 if credit.open and now >= credit.closed_until and credit.pace_at < now else 1.0
-            if now - credit.pace_at > PACE:
-                most = 0.0
-        credit.left = min(credit.left, max(LEAST, 2 * most))
-        return most - credit.left if credit.left < max(1.0, most / 2) and now >= credit.hungry_at else 0.0
+            most = 0.0 if self.open(credit, now) or now - credit.pace_at > PACE else 1.0  # on demand
+        return most - credit.left if most and credit.left <= MORE * most and now >= credit.hungry_at else 0.0
 
     def due(self, name: int, now: float) -> bool:
         """Whether a call should be made for a tenant, without waiting for the next."""
@@ -170,6 +173,7 @@
             if now - self.heard > GOOD:
                 credit.left = 0.0
             before = credit.left
+            credit.left = min(before, max(LEAST, 2 * credit.most(now, self.many)))  # others may want the rest
             want = self.wants(credit, now)
             if not self.told_all or want > 0 or credit.spent or credit.left != before:
                 entries.append([name, credit.left, credit.spent, max(0.0, want)])
@@ -190,9 +194,7 @@
                 continue
             credit.spent = max(0.0, credit.spent - self.calling.get(int(which), 0.0))
             credit.left += granted
-            credit.open = bool(opened)
-            if opened:
-                credit.closed_until = 0.0
+            credit.closed_until = 0.0 if opened else now + CLOSED
             if not granted and not opened:
                 credit.hungry_at = now + STARVED
             else:
--- a/loomstand/registry/limiters.py
+++ b/loomstand/registry/limiters.py
@@ -12,8 +12,9 @@
 # What another registry tells of a limiter that never spoke here is up to a second older.
 TOLD = 2.4
 # A limiter that fell silent may be cut off and go on with its part: its place is held for so long. Cuts of
-# ten seconds are usual; one that was killed is back by then, or is told to be over.
-HELD = 12.0
+# twenty seconds are usual; one that was killed is back by then, or is told to be over. Limiters shrink their
+# parts before (`proxy/quota_credits.py`).
+HELD = 30.0
 
 
 class LimiterTable:
--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -20,7 +20,7 @@
 from loomstand.registry.instances import DRAINING, GONE, InstanceTable, from_row
 from loomstand.registry.limiters import LimiterTable
 from loomstand.registry.matchers import Asked, method, path, query
-from loomstand.registry.quota_buckets import QuotaBuckets
+from loomstand.registry.quota_buckets import SLOTS, QuotaBuckets
 from loomstand.registry.quota_grants import QuotaGrants
 from loomstand.registry.rescue import rescue
 from loomstand.rpc.network import Address, Body, Network
@@ -176,7 +176,8 @@
                 "clock": self.common.tenths(now, self.holding.counts(now)),
             }  # fmt: skip
         if self.quota_buckets.version > full:
-            said |= {"q": self.quota_buckets.version, "full": self.quota_buckets.news(full)}
+            news = [[n, total, self.grants.closed(n >> SLOTS)] for n, total in self.quota_buckets.news(full)]
+            said |= {"q": self.quota_buckets.version, "full": news}
         if self.version > theirs:
             said["c"] = self.version
         elif theirs > self.version:
@@ -230,6 +231,7 @@
 
     async def bye(self, body: Body) -> Body:
         self.limiters.ended(str(body["name"]), self.clock())
+        self.grants.left(str(body["name"]))
         self.heed()
         if not body.get("told"):
             await self.tell_all("bye", {"name": body["name"], "told": True}, TOLD_WITHIN)
@@ -374,16 +376,17 @@
             now = self.clock()
             self.counters = Counters(self.rng.getrandbits(24), now > self.settled)
             self.quota_buckets.anew()
-            self.grants.anew(self.counters.number, now, now - self.empty_at < SETTLED)
+            self.grants.anew(self.counters.number, now, self.unused())
         if before != (self.holding.primary, self.holding.term):
             self.turn.set()
 
     def heard_store(self, said: Body) -> None:
         """What the store says of itself."""
         if int(said["version"]) > self.version and "data" in said:
+            known = self.version > 0 or self.unused()
             self.version, self.data = int(said["version"]), bytes(said["data"])
             logging.info("configuration r%d held", self.version)
-            self.quotas()
+            self.quotas(known)
             self.wake()
         if int(said["version"]) == 0 == self.version and said.get("ready") and said.get("primary"):
             self.empty_at = self.clock()
@@ -406,11 +409,16 @@
         finally:
             self.offering = False
 
-    def quotas(self) -> None:
+    def unused(self) -> bool:
+        """Whether there was no configuration until just now, so that nobody had a quota."""
+        return self.clock() - self.empty_at < SETTLED
+
+    def quotas(self, known: bool) -> None:
+        """Another configuration is held; `known`: the one before it, or that there was none."""
         try:
             tenants = parse(self.data).tenants or ()
             self.quota_buckets.learn(tenants)
-            self.grants.learn(tenants, self.holding.counts(self.clock()))
+            self.grants.learn(tenants, known and self.holding.counts(self.clock()))
         except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
             logging.error("configuration r%d can't be used: %s", self.version, why)
 
--- a/loomstand/registry/quota_grants.py
+++ b/loomstand/registry/quota_grants.py
@@ -57,9 +57,12 @@
     at: float
     held: dict[str, float] = field(default_factory=dict)
 
-    def leak(self, at: float) -> None:
-        self.level = max(sum(self.held.values()), self.level - self.rate * (at - self.at))
-        self.at = at
+    def leak(self, at: float, own: float = 0.0, before: float = 0.0) -> None:
+        """Beside what is held: `own`, what limiters may have that go alone; `before`, what is left of an
+        earlier counter's, which was in the level from the first on."""
+        floor = min(self.depth, sum(self.held.values()) + own)
+        left = max(self.level - self.rate * (at - self.at), min(self.level, floor + before))
+        self.level, self.at = max(left, floor), at
 
 
 @dataclass(slots=True)
@@ -77,13 +80,14 @@
         self.number = 0
         self.buckets: dict[int, Bucket] = {}
         self.callers: dict[str, Caller] = {}
-        self.many, self.scale = 1, 1.0 - ALONE
+        self.many, self.gone, self.scale = 1, 0, 1.0 - ALONE
+        self.began = 0.0
         self.time, self.at = 0.0, 0.0  # buckets' time runs slower while limiters go alone
 
     def anew(self, number: int, now: float, unused: bool = False) -> None:
         """Counts begin anew: buckets are full, as the one before may have granted all. `unused`: there was
         no configuration until now, so nobody was granted anything."""
-        self.number, self.callers, self.at = number, {}, now
+        self.number, self.callers, self.at, self.began = number, {}, now, now
         for bucket in self.buckets.values():
             bucket.held = {}
             bucket.level, bucket.at = 0.0 if unused else bucket.first, self.time
@@ -108,11 +112,31 @@
 
     def tick(self, now: float, known: Iterable[str]) -> None:
         """Buckets leak by the rate less what limiters may take that go alone: `known`, or callers once."""
-        self.time += self.scale * max(0.0, now - self.at)
+        gone_by = max(0.0, now - self.at)
+        longer = max(0.0, gone_by - SILENT)  # nobody called, so all went alone
+        self.time += self.scale * (gone_by - longer) + (1.0 - ALONE) * longer
         names = {*known, *self.callers}
-        gone = sum(name not in self.callers or now - self.callers[name].good > SILENT for name in names)
+        self.gone = sum(name not in self.callers or now - self.callers[name].good > SILENT for name in names)
         self.many, self.at = max(1, len(names)), now
-        self.scale = 1.0 - ALONE * gone / self.many
+        self.scale = 1.0 - ALONE * self.gone / self.many
+
+    def unheard(self, bucket: Bucket) -> tuple[float, float]:
+        """What limiters may hold that this counter doesn't hear: of their own shares and, at first, of the
+        counter before. Of quotas too small to share out it would be all, and is left out."""
+        if not self.gone or self.few(bucket):
+            return 0.0, 0.0
+        young = self.at - self.began < HELD
+        before = self.gone * bucket.depth / self.many if young else 0.0
+        return self.gone * max(1.0, ALONE * bucket.rate / self.many), before
+
+    def few(self, bucket: Bucket) -> bool:
+        return bucket.depth < FEW * self.many
+
+    def left(self, name: str) -> None:
+        """A limiter ended its session: it lets nothing in any more."""
+        self.callers.pop(name, None)
+        for bucket in self.buckets.values():
+            bucket.held.pop(name, None)
 
     def sweep(self, now: float, known: Iterable[str]) -> None:
         """Drops what limiters held that called long ago, and those that nobody knows any more."""
@@ -145,14 +169,19 @@
             bucket = self.buckets.get(int(which))
             if bucket is None:
                 continue
-            bucket.leak(self.time)
+            bucket.leak(self.time, *self.unheard(bucket))
             bucket.held[name] = left
             bucket.level = max(bucket.level + spent, sum(bucket.held.values()))
-            opened = bucket.depth < FEW * self.many and bucket.level < bucket.depth / 2
+            opened = self.few(bucket) and bucket.level < bucket.depth / 2
             granted = 0.0 if opened else self.grant(bucket, name, left, want)
             found.append([int(which), granted, int(opened)])
         return found
 
+    def closed(self, name: int) -> int:
+        """Whether a bucket is half full, so that nobody lets in before it tells."""
+        bucket = self.buckets.get(name)
+        return int(bucket is not None and bucket.level >= bucket.depth / 2)
+
     def grant(self, bucket: Bucket, name: str, left: float, want: float) -> float:
         """Whole requests: fractions at many limiters would let nobody in. Where less than a fourth is left,
         only whoever holds none gets some."""
