--- a/loomstand/proxy/quota_credits.py
+++ b/loomstand/proxy/quota_credits.py
@@ -53,6 +53,10 @@
         self.pace = self.pace * exp((self.pace_at - now) / PACE) + 1 / PACE
         self.pace_at = now
 
+    def asked(self, now: float) -> bool:
+        """Whether requests come, so that credits are not only held in case."""
+        return self.pace > 0 and now - self.pace_at <= PACE
+
     def most(self, now: float, many: int) -> float:
         """What is to be held of it."""
         return max(LEAST, IDLE * self.depth / many) + AHEAD * self.pace * exp((self.pace_at - now) / PACE)
@@ -158,7 +162,7 @@
     def wants(self, credit: Credit, now: float) -> float:
         most = credit.most(now, self.many)
         if self.few(credit):
-            most = 0.0 if self.open(credit, now) or now - credit.pace_at > PACE else 1.0  # on demand
+            most = 0.0 if self.open(credit, now) or not credit.asked(now) else 1.0  # on demand
         return most - credit.left if most and credit.left <= MORE * most and now >= credit.hungry_at else 0.0
 
     def due(self, name: int, now: float) -> bool:
@@ -176,7 +180,7 @@
             credit.left = min(before, max(LEAST, 2 * credit.most(now, self.many)))  # others may want the rest
             want = self.wants(credit, now)
             if not self.told_all or want > 0 or credit.spent or credit.left != before:
-                entries.append([name, credit.left, credit.spent, max(0.0, want)])
+                entries.append([name, credit.left, credit.spent, max(0.0, want), int(credit.asked(now))])
                 self.calling[name] = credit.spent
         return self.number, self.alone(now), entries
 
--- a/loomstand/registry/quota_grants.py
+++ b/loomstand/registry/quota_grants.py
@@ -26,10 +26,10 @@
 # Seconds for which credits are good after the last answered call, and for which the counter holds them.
 GOOD, HELD = 1.5, 2.5
 # Of what a rule lets run beyond rate and burst this share is in the buckets.
-SHARE = 0.4
+SHARE = 0.3
 # And this share is free at a counter that begins, whatever the one before it granted: two may begin within a
 # window. The rest is for what can't be charged: limiters that went alone unheard, clocks that differ.
-BEGINS = 0.25
+BEGINS = 0.3
 # Of a bucket at most this share is held ahead, so that bursts at one limiter find some free: with all of it a
 # tenant at 25 requests a second of 40 had one in 200 refused.
 MOST_HELD = 0.6
@@ -168,7 +168,7 @@
         if not alone:
             caller.good = now
         found = []
-        for which, left, spent, want in entries:
+        for which, left, spent, want, asked in entries:
             bucket = self.buckets.get(int(which))
             if bucket is None:
                 continue
@@ -176,7 +176,7 @@
             bucket.held[name] = left
             bucket.level = max(bucket.level + spent, sum(bucket.held.values()))
             opened = self.few(bucket) and bucket.level < bucket.depth / 2
-            granted = 0.0 if opened else self.grant(bucket, name, left, want)
+            granted = 0.0 if opened else self.grant(bucket, name, left, want, bool(asked))
             found.append([int(which), granted, int(opened)])
         return found
 
@@ -185,11 +185,13 @@
         bucket = self.buckets.get(name)
         return int(bucket is not None and bucket.level >= bucket.depth / 2)
 
-    def grant(self, bucket: Bucket, name: str, left: float, want: float) -> float:
-        """Whole requests: fractions at many limiters would let nobody in. Where less than an eighth is left
-        only whoever holds none gets some, where most is held nobody more than its even part."""
+    def grant(self, bucket: Bucket, name: str, left: float, want: float, asked: bool) -> float:
+        """Whole requests: fractions at many limiters would let nobody in. Where less than half is left, a
+        limiter whose tenant doesn't ask gets none while it has one, nor soon after a start of all; where less
+        than an eighth, only whoever has none gets some; where most is held nobody more than its even part."""
         free, most = bucket.depth - bucket.level, MOST_HELD * bucket.depth
-        if free < 1 or (left >= 1 and free < bucket.depth / 8):
+        spare = asked or free >= bucket.depth / 2 or (left < 1 and self.at - self.began > HELD)
+        if free < 1 or not spare or (left >= 1 and free < bucket.depth / 8):
             return 0.0
         if left >= 1 and sum(bucket.held.values()) > most:
             want = max(0.0, min(want, most / self.many - left))
--- a/loomstand/simulation/faults.py
+++ b/loomstand/simulation/faults.py
@@ -247,7 +247,7 @@
         self.town.sky.slow |= dict.fromkeys(ips, more)
         await self.last()
         for ip in ips:
-            del self.town.sky.slow[ip]
+            self.town.sky.slow.pop(ip, None)  # other trouble may have ended it
 
     async def slow_proxy(self) -> None:
         ips = self.some(0.05, 0.3)
