--- a/tests/test_quota_grants.py
+++ b/tests/test_quota_grants.py
@@ -5,9 +5,12 @@
 from bisect import bisect_left, bisect_right
 from random import Random
 
+import pytest
+
 from loomstand.door import digest
+from loomstand.proxy import quota_credits
 from loomstand.proxy.quota_credits import QuotaCredits
-from loomstand.registry import quota_grants
+from loomstand.registry import limiters, quota_grants
 from loomstand.registry.quota_grants import QuotaGrants
 from loomstand.shared.configuration import Tenant
 from loomstand.simulation.cluster import Cluster
@@ -178,5 +181,212 @@
         return out
 
 
-SMALL = (8, [(4, 4), (15, 15), (60, 60), (60, 120), (200, 100)])
+SMALL = (12, [(4, 4), (15, 15), (60, 60), (60, 120), (200, 100), (200, 400)])
 LARGE = (85, [(60, 150), (120, 120), (360, 360)])
+HERDS = ((6.0, "hot"), *((8.0 + 0.8 * n, "herd") for n in range(5)))
+LOWERED = ((6.0, "hot"), *((7.0 + 0.2 * n, "lower") for n in range(12)))
+
+
+@pytest.mark.parametrize(("size", "seed"), [(SMALL, n) for n in range(10)] + [(LARGE, n) for n in range(2)])
+def test_no_window_of_a_hot_tenant_is_over_its_quota_whatever_befalls(size, seed):
+    """Herds, rolls, cuts both ways and one way, counters that move, lower quotas; all take what they may."""
+    many, quotas = size
+    play = Play(seed, many, quotas).play(24.0, ANY)
+    assert max(play.worst().values()) <= 1
+    assert all(len(at) > 0.2 * 24 * play.tenants[name].rate for name, at in play.ran.items())
+
+
+def uncharged(monkeypatch) -> None:
+    """Credits count once they are used, as parts did."""
+    grant = QuotaGrants.grant
+
+    def free(self, bucket, *more):
+        granted = grant(self, bucket, *more)
+        bucket.level -= granted
+        return granted
+
+    monkeypatch.setattr(QuotaGrants, "grant", free)
+
+
+def rich(monkeypatch) -> None:
+    """A limiter that starts has its part of the bucket."""
+    learn = QuotaCredits.learn
+
+    def start(self, quotas):
+        new = not self.credits
+        learn(self, quotas)
+        for credit in self.credits.values() if new else ():
+            credit.left = credit.depth / self.many
+
+    monkeypatch.setattr(QuotaCredits, "learn", start)
+
+
+def unheard(monkeypatch) -> None:
+    """The counter leaves nothing to limiters that it doesn't hear."""
+    monkeypatch.setattr(quota_grants, "ALONE", 0.0)
+
+
+def deaf(monkeypatch) -> None:
+    """A limiter that calls is taken to hear the answers."""
+    call = QuotaGrants.call
+
+    def heard(self, name, life, number, alone, entries, now):
+        return call(self, name, life, number, False, entries, now)
+
+    monkeypatch.setattr(QuotaGrants, "call", heard)
+
+
+def emptied(monkeypatch) -> None:
+    """A counter that begins takes nothing to have been granted."""
+    anew = QuotaGrants.anew
+    monkeypatch.setattr(QuotaGrants, "anew", lambda self, *given, **_: anew(self, *given[:2], True))
+
+
+def relearnt(monkeypatch) -> None:
+    """Buckets of other quotas begin anew."""
+    learn = QuotaGrants.learn
+
+    def afresh(self, tenants, counts):
+        learn(self, tenants, counts)
+        for bucket in self.buckets.values():
+            bucket.level = sum(bucket.held.values())
+
+    monkeypatch.setattr(QuotaGrants, "learn", afresh)
+
+
+@pytest.mark.parametrize(
+    ("troubles", "mutant"),
+    [
+        (HERDS, uncharged),
+        (HERDS, rich),
+        (((6.0, "cut"), (9.0, "hot")), unheard),
+        (((6.0, "deaf"), (9.0, "hot")), deaf),
+        (((6.0, "hot"), (7.0, "move"), (9.0, "move")), emptied),
+        (LOWERED, relearnt),
+    ],
+)
+def test_each_defence_is_needed(troubles, mutant, monkeypatch):
+    def worst() -> float:
+        return max(max(Play(seed, *SMALL).play(15.0, troubles).worst().values()) for seed in range(2))
+
+    assert worst() <= 1
+    mutant(monkeypatch)
+    assert worst() > 1
+
+
+# --- step by step
+
+ANN = Tenant("ann", (), 1, 60.0, 120.0)
+NAME = digest("ann")
+
+
+def pair(many: int = 4) -> tuple[QuotaGrants, QuotaCredits]:
+    """A counter that has known this limiter for long, and the limiter."""
+    grants, credits = QuotaGrants(BOUNDS), QuotaCredits(BOUNDS, 1, 10.0)
+    grants.learn([ANN], False)
+    grants.anew(7, 0.0, unused=True)
+    credits.limiters(many)
+    credits.learn({NAME: ANN})
+    while call(grants, credits, 10.0):
+        pass
+    return grants, credits
+
+
+def call(grants: QuotaGrants, credits: QuotaCredits, now: float) -> bool:
+    number, alone, entries = credits.call(now)
+    grants.tick(now, ["one"])
+    return credits.granted(now, now, grants.number, grants.call("one", 1, number, alone, entries, now))
+
+
+def test_credits_are_void_after_a_while_without_an_answer_and_the_counter_holds_them_longer():
+    grants, credits = pair()
+    held = grants.buckets[NAME].held["one"]
+    assert held == credits.credits[NAME].left >= 2
+    credit = credits.credits[NAME]
+    assert [credits.source(credit, t + quota_credits.GOOD) for t in (10.0, 10.1)] == ["left", "own"]
+    grants.sweep(10.0 + quota_credits.GOOD + 0.5, ["one"])
+    assert grants.buckets[NAME].held["one"] == held and quota_grants.HELD > quota_credits.GOOD
+    grants.sweep(10.1 + quota_grants.HELD, ["one"])
+    assert "one" not in grants.buckets[NAME].held
+    assert credits.call(13.0)[2][0][1] == 0  # it tells that it has none
+
+
+def test_another_counter_hears_all_that_is_held_before_it_grants():
+    grants, credits = pair()
+    left = credits.credits[NAME].left
+    grants.anew(8, 11.0)
+    number, alone, entries = credits.call(11.0)
+    grants.tick(11.0, ["one"])
+    assert grants.call("one", 1, number, alone, entries, 11.0) is None and not entries
+    assert credits.granted(11.0, 11.0, 8, None) and credits.heard == 10.0  # no answer that keeps them good
+    assert credits.call(11.0)[2][0][:2] == [NAME, left]
+    call(grants, credits, 11.0)
+    assert grants.buckets[NAME].held["one"] >= left and credits.heard == 11.0
+
+
+def test_a_limiter_without_word_takes_a_part_of_the_even_share_and_the_counter_leaves_it():
+    grants, credits = pair(many=2)
+    credits.credits[NAME].left = 0.0
+    ran, now = 0, 10.0
+    while now < 20.0:
+        now += 0.01
+        while credits.may(NAME, now):
+            credits.used(NAME, now)
+            ran += 1
+    part = quota_grants.ALONE * ANN.rate / 2
+    assert ran == pytest.approx(part * (10 - quota_grants.SILENT), rel=0.05)
+    grants.tick(10.5, ["one", "two"])
+    grants.tick(12.0, ["one", "two"])  # nobody called
+    time = grants.time
+    grants.tick(12.5, ["one", "two"])
+    assert (grants.time - time) / 0.5 == pytest.approx(1 - quota_grants.ALONE)
+
+
+def test_a_part_shrinks_before_the_counter_forgets_a_limiter():
+    assert quota_credits.LONG < limiters.HELD
+    _, credits = pair(many=2)
+    late, ran, now = 10.0 + quota_credits.LONG, 0, 10.0 + quota_credits.LONG
+    credits.has(NAME, late)
+    while now < late + 10:
+        now += 0.01
+        while credits.may(NAME, now):
+            credits.used(NAME, now)
+            ran += 1
+    part = quota_grants.ALONE * ANN.rate / 2
+    assert ran <= quota_credits.DIM * part * 10 + part + 1
+
+
+def test_what_limiters_hold_unheard_keeps_a_bucket_from_emptying():
+    grants, _ = pair()
+    names = [f"l{n}" for n in range(20)]
+    for now in (11.0, 12.0, 30.0):
+        grants.tick(now, names)
+    bucket = grants.buckets[NAME]
+    bucket.leak(grants.time, *grants.unheard(bucket))
+    assert bucket.level >= 20 * quota_grants.ALONE * ANN.rate / 20
+
+
+def test_small_quotas_are_open_until_half_full_and_then_for_credits_alone():
+    many, small = 75, Tenant("ann", (), 1, 4.0, 4.0)
+    grants = QuotaGrants(BOUNDS)
+    grants.learn([small], False)
+    grants.anew(7, 0.0, unused=True)
+    names, ran = [f"l{n}" for n in range(many)], 0
+    all_of = {name: QuotaCredits(BOUNDS, 1, 1.0) for name in names}
+    for now in (1.0, 1.1, 1.2):
+        for name, credits in all_of.items():
+            if now == 1.0:
+                credits.limiters(many)
+                credits.learn({NAME: small})
+            number, alone, entries = credits.call(now)
+            grants.tick(now, names)
+            credits.granted(now, now, 7, grants.call(name, 1, number, alone, entries, now))
+    for credits in all_of.values():
+        if not grants.closed(NAME) and credits.may(NAME, 1.3):
+            credits.used(NAME, 1.3)
+            ran += 1
+            assert not credits.has(NAME, 1.3)  # one, until the counter knows of it
+            call(grants, credits, 1.3)
+    assert ran == pytest.approx(quota_grants.depth(4.0, 4.0, BOUNDS) / 2, abs=1)
+    credits.full(NAME, 1.3)
+    assert not credits.has(NAME, 1.3) and credits.has(NAME, 1.31 + quota_credits.CLOSED)
