--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -162,13 +162,13 @@
 
 
 class Parted(Day):
-    """Three of eight limiters are cut off from the core, while the largest tenant is hot."""
+    """Half of eight limiters are cut off from the core, while the largest tenant is hot."""
 
     def lanes(self, until):
         async def parted():
             self.loads[-1].hot = True
             await asyncio.sleep(2.0)
-            ips = [*self.town.proxies][:3]
+            ips = [*self.town.proxies][:4]
             async with self.troubles.span("cut", "limiters cut off", ips):
                 self.town.sky.apart(ips, self.town.core_ips)
                 await asyncio.sleep(9.0)
