--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -21,7 +21,8 @@
 from loomstand.registry.instances import DRAINING, GONE, InstanceTable, from_row
 from loomstand.registry.limiters import LimiterTable
 from loomstand.registry.matchers import Asked, method, path, query
-from loomstand.registry.quota_buckets import QuotaBuckets
+from loomstand.registry.quota_buckets import SLOTS, QuotaBuckets
+from loomstand.registry.quota_grants import QuotaGrants
 from loomstand.registry.rescue import rescue
 from loomstand.rpc.network import Address, Body, Network, carry
 from loomstand.shared.configuration import Configuration, ConfigurationError, Reader
@@ -61,6 +62,8 @@
         self.instances, self.limiters = InstanceTable(settings.heartbeat), LimiterTable()
         self.counters = Counters(0)
         self.quota_buckets = QuotaBuckets()
+        self.grants = QuotaGrants(settings.bounds)
+        self.empty_at = -SETTLED  # when the store last said that there never was a configuration
         self.common = Clock((time.time() if wall is None else wall) - clock())
         self.own: dict[str, int] = {}  # the servers that spoke here lately, with their sequence
         # Servers that another registry wasn't told of, as where it was cut off: it is told with the rounds.
@@ -105,8 +108,8 @@
             }
         )
         self.ops = {
-            "ask": self.ask, "fetch": self.fetch, "count": self.count, "bye": self.bye, "offer": self.offer,
-            "tell": self.told, "whole": self.whole,
+            "ask": self.ask, "fetch": self.fetch, "count": self.count, "grant": self.grant, "bye": self.bye,
+            "offer": self.offer, "tell": self.told, "whole": self.whole,
         }  # fmt: skip
 
     # life
@@ -192,7 +195,8 @@
                 "clock": self.common.tenths(now, self.holding.counts(now)),
             }  # fmt: skip
         if self.quota_buckets.version > full:
-            said |= {"q": self.quota_buckets.version, "full": self.quota_buckets.news(full)}
+            news = [[n, total, self.grants.closed(n >> SLOTS)] for n, total in self.quota_buckets.news(full)]
+            said |= {"q": self.quota_buckets.version, "full": news}
         if self.version > theirs:
             said["c"] = self.version
         elif theirs > self.version:
@@ -239,8 +243,19 @@
             self.wake()
         return {"total": total, "counts": self.counters.number} | ({"young": True} if young else {})
 
+    async def grant(self, body: Body) -> Body:
+        """A limiter's call for credits."""
+        now = self.clock()
+        if not self.holding.counts(now):
+            raise Refused("another counts")
+        name, life, number = str(body["name"]), int(body["life"]), int(body["number"])
+        self.grants.tick(now, self.limiters.ranks)
+        grants = self.grants.call(name, life, number, bool(body["alone"]), body["entries"], now)
+        return {"number": self.grants.number} | ({} if grants is None else {"grants": grants})
+
     async def bye(self, body: Body) -> Body:
         self.limiters.ended(str(body["name"]), self.clock())
+        self.grants.left(str(body["name"]))
         self.heed()
         if not body.get("told"):
             await self.tell_all("bye", {"name": body["name"], "told": True}, TOLD_WITHIN)
@@ -313,6 +328,7 @@
             now = self.clock()
             self.limiters.sweep(now)
             self.counters.sweep(now)
+            self.grants.sweep(now, self.limiters.ranks)
             if self.instances.sweep(now):
                 self.wake()
             self.heed()
@@ -401,8 +417,10 @@
             self.fact()
         if self.holding.gap and not self.holding.counts(self.clock()):
             self.holding.gap = False
-            self.counters = Counters(self.rng.getrandbits(24), self.clock() > self.settled)
+            now = self.clock()
+            self.counters = Counters(self.rng.getrandbits(24), now > self.settled)
             self.quota_buckets.anew()
+            self.grants.anew(self.counters.number, now, self.unused())
         if before != (self.holding.primary, self.holding.term):
             self.turn.set()
 
@@ -415,13 +433,16 @@
         """What the store says of itself, asked at that time."""
         self.sure_until = asked + WAITS + KNOWN
         if int(said["version"]) > self.version and "data" in said:
+            known = self.version > 0 or self.unused()
             self.version, self.data = int(said["version"]), bytes(said["data"])
             logging.info("configuration r%d held", self.version)
             if len(self.data) < LATER[0]:
-                self.quotas()
+                self.quotas(known)
             else:
-                asyncio.get_running_loop().call_later(LATER[1], self.quotas)
+                asyncio.get_running_loop().call_later(LATER[1], self.quotas, known)
             self.wake()
+        if int(said["version"]) == 0 == self.version and said.get("ready") and said.get("primary"):
+            self.empty_at = self.clock()
         if int(said["version"]) < self.version and not self.offering:
             self.offering = True  # its store has lost it, and may be the one that is asked what is left
             self.spawn(self.give())
@@ -442,12 +463,18 @@
         finally:
             self.offering = False
 
-    def quotas(self) -> None:
-        """The tenants' quotas are those of the configuration held."""
+    def unused(self) -> bool:
+        """Whether there was no configuration until just now, so that nobody had a quota."""
+        return self.clock() - self.empty_at < SETTLED
+
+    def quotas(self, known: bool) -> None:
+        """Another configuration is held; `known`: the one before it, or that there was none."""
         try:
             if self.parsed is None or self.parsed.raw != self.data:
                 self.parsed = self.reader.parse(self.data)
-            self.quota_buckets.learn(self.parsed.tenants or ())
+            tenants = self.parsed.tenants or ()
+            self.quota_buckets.learn(tenants)
+            self.grants.learn(tenants, known and self.holding.counts(self.clock()))
         except ConfigurationError as why:  # it was checked before it was stored: a fault of ours
             logging.error("configuration r%d can't be used: %s", self.version, why)
 
