--- a/loomstand/simulation/bounds.py
+++ b/loomstand/simulation/bounds.py
@@ -232,6 +232,9 @@
             limit = max(limit, span.ended + self.bounds.contact)
         if span is not None and span.kind == CORE and span.most:
             limit = min(limit, acked + self.within + self.bounds.stretch_limit)
+            # the stretch is the core's: one that was cut off until just now has its own time
+            near = (s for s in self.history.spans if not s.core and host in s.hosts and s.begun <= known)
+            limit = max([limit, *(s.ended + self.bounds.contact for s in near if s.ended < known)])
         worst = self.kinds.setdefault(kind, Worst(f"{self.name}, {kind}"))
         worst.add(
             max(0.0, known - since), inf if free else max(0.0, limit - since), since, f"{who} at {host}"
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -104,6 +104,14 @@
     assert figure.value == pytest.approx(value) and figure.broken == broken
 
 
+@pytest.mark.parametrize(("known", "broken"), [(20.9, 0), (23.5, 1)])
+def test_the_cores_stretch_does_not_bind_a_limiter_that_was_cut_off_until_its_end(known, broken):
+    cut = Span("cut", "", frozenset(["one"]), 8.0, 20.4)
+    core = Span(CORE, "", frozenset(["core"]), 20.45, 20.5, True)
+    assert heard(known, cut, core)["version in force, core"].broken == broken
+    assert heard(20.9, core, replace(core, begun=9.0, ended=9.1))["version in force, core"].broken == 1
+
+
 def test_a_limiter_that_starts_needs_what_was_acknowledged_before():
     span = Span("started", "killed", frozenset(["one"]), 20.0, 21.0)
     told = [Told(1.0, "one", 1, "", 1), Told(10.5, "one", 1, "", 2), Told(21.2, "one", 2, "", 1)]
