Simulated streams: a reset after a cut leaves no gap in what is read

A fault of the simulation: TCP reads nothing over a gap. Change: what stands behind lost bytes is lost, too. The new test fails without the change.

--- a/loomstand/simulation/streams.py
+++ b/loomstand/simulation/streams.py
@@ -338,10 +338,11 @@
         self.settle()
 
     def reset(self) -> None:
-        """The kernel breaks it off, once; what is on the way comes before that, what met a cut never."""
+        """The kernel breaks it off, once; what is on the way comes before that, what met a cut never, nor what
+        was sent after it: no byte is read over a gap."""
         if not self.gone:
-            now = self.loop.time()
-            self.way = deque(p for p in self.way if p[0] > now)
+            if self.way and self.way[0][0] <= self.loop.time():
+                self.way.clear()
             if self.timer is not None:
                 self.timer.cancel()
                 self.timer = None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -80,6 +80,34 @@
     play(work)
 
 
+def test_a_reset_after_a_cut_leaves_no_gap_in_what_is_read():
+    """Bytes that met the cut are lost by the reset; those written after it came without them, as a request."""
+
+    async def work() -> None:
+        sky = SimNetwork(Random(1))
+        cables = Cables(sky, Random(2))
+        here, there = (Streams(cables, host, Life()) for host in ("10.0.0.1", "10.0.0.2"))
+        taken: list[Talk] = []
+
+        def make() -> Talk:
+            taken.append(Talk())
+            return taken[-1]
+
+        await there.listen(asyncio.get_running_loop(), make, ("10.0.0.2", 80))
+        talk = await here.open(Talk, ("10.0.0.2", 80), 1.0)
+        talk.transport.get_extra_info("reset_on_close")()
+        sky.cut("10.0.0.1", "10.0.0.2")
+        talk.transport.write(b"GET /a HTTP")
+        await asyncio.sleep(0.1)
+        sky.mend()
+        talk.transport.write(b"/1.1")
+        talk.transport.abort()
+        await asyncio.sleep(2.0)
+        assert (bytes(taken[0].buf), taken[0].over) == (b"", "reset")
+
+    play(work)
+
+
 @pytest.mark.parametrize("how", ["kill", "off", "cut", "nobody"])
 def test_connections_end_as_their_machines_do(how):
     async def work() -> None:
