--- a/loomstand/simulation/streams.py
+++ b/loomstand/simulation/streams.py
@@ -338,8 +338,8 @@
         self.settle()
 
     def reset(self) -> None:
-        """The kernel breaks it off, once; what is on the way comes before that, what met a cut never, nor what
-        was sent after it: no byte is read over a gap."""
+        """The kernel breaks it off, once; what is on the way comes before that. What met a cut never comes,
+        nor what was sent after it: no byte is read over a gap."""
         if not self.gone:
             if self.way and self.way[0][0] <= self.loop.time():
                 self.way.clear()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -81,7 +81,7 @@
 
 
 def test_a_reset_after_a_cut_leaves_no_gap_in_what_is_read():
-    """Bytes that met the cut are lost by the reset; those written after it came without them, as a request."""
+    """Bytes that met the cut are lost by the reset; those written after it came alone, as a request."""
 
     async def work() -> None:
         sky = SimNetwork(Random(1))
