--- a/tests/test_almanac.py
+++ b/tests/test_almanac.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from itertools import combinations, takewhile
 from math import ceil
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -428,3 +429,13 @@
 def test_a_day_that_earned_all_has_nothing_to_share_out():
     whole = replace(read(day()).days[0], worth=1.0, score=1.0, parts=(), prices=())
     assert [(loss.worth, loss.score) for loss in losses.of_day(whole)] == [(0.0, 0.0)]
+
+
+@pytest.mark.parametrize("path", sorted(Path("examples/days").glob("*.toml")), ids=lambda path: path.stem)
+def test_a_regression_day_names_its_site_and_holds_known_kinds(path):
+    text = path.read_text()
+    assert text.startswith("# For `fleetbench run` on ") and text.count("[[day]]") == 1
+    kept = tomllib.loads(text)["day"][0]
+    assert kept["name"] == path.stem and path.name in Path("docs/almanac.md").read_text()
+    lines = [line for where in ("plan", "faults") for line in kept[where]]
+    assert lines and {line["kind"] for line in lines} <= {way.kind for way in dense.WAYS}
