--- a/review/standin/users.py
+++ b/review/standin/users.py
@@ -55,7 +55,9 @@
         self.receive_buffer_bytes = 0
         self.lose_answer_each = self.since_loss = 0
         self.runs: list[Run] = []
-        self.busy = self.waiting = self.lost_answers = 0
+        self.arrived: list[str] = []  # the ids of requests that have come in
+        self.busy = self.lost_answers = 0
+        self.line: list[object] = []  # the requests that wait for a slot, in order
         self.listener: asyncio.Server | None = None
         self.beats: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -157,7 +159,7 @@
             self.refuse(writer, 421, request_id)
         elif not request_id:
             self.refuse(writer, 400, request_id)
-        elif self.waiting >= self.queue:
+        elif len(self.line) >= self.queue:
             self.refuse(writer, 503, request_id)
         elif not await self.run(reader, writer, request_id, fields):
             return False
@@ -176,10 +178,20 @@
         """Waits for a slot, works and answers; returns whether the connection goes on."""
         loop = asyncio.get_running_loop()
         until = loop.time() + int(fields.get("loomstand-deadline-remaining", "60000")) / 1000
-        self.waiting += 1
-        while self.busy >= self.slots and loop.time() < until:
-            await asyncio.sleep(0.002)
-        self.waiting -= 1
+        self.arrived.append(request_id)
+        self.record.line(f"arrived {request_id} at {self.id}")
+        place = object()
+        self.line.append(place)
+        try:
+            while self.busy >= self.slots or self.line[0] is not place:
+                if loop.time() >= until or is_closed(reader):
+                    break
+                await asyncio.sleep(0.002)
+        finally:
+            self.line.remove(place)
+        if is_closed(reader):
+            self.record.line(f"dropped {request_id} at {self.id}, its connection has closed")
+            return False
         if loop.time() >= until:
             self.refuse(writer, 503, request_id)
             return True
@@ -187,8 +199,10 @@
         run = Run(self.record.now(), self.id, request_id)
         self.runs.append(run)
         self.record.line(f"run {request_id} at {self.id}")
+        work_until = min(until, loop.time() + random.uniform(*self.work_seconds))
         try:
-            await asyncio.sleep(min(random.uniform(*self.work_seconds), until - loop.time()))
+            while loop.time() < work_until and not is_closed(reader):
+                await asyncio.sleep(min(0.005, max(0.0, work_until - loop.time())))
         finally:
             self.busy -= 1
         if self.is_answer_lost():
@@ -217,6 +231,11 @@
         writer.write(answer(status, request_id, b"", "Loomstand-Not-Executed: 1\r\n"))
 
 
+def is_closed(reader: asyncio.StreamReader) -> bool:
+    """Returns whether the peer has closed or reset the connection."""
+    return reader.at_eof() or reader.exception() is not None
+
+
 async def discard(reader: asyncio.StreamReader, length: int) -> None:
     """Reads a body."""
     while length:
