--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,9 +23,9 @@
 
 HOST, KEY, SERVICE = "jepu9.example", "ctnfzs989anu6wsjnban", "wuno96b"
 SERVERS = 4
-BODY = bytes(8 << 20)  # limits.max_body_bytes allows 64 MiB
-REQUESTS = 200
-CLIENTS = 4
+BODY = bytes(6 << 20)  # limits.max_body_bytes allows 64 MiB
+REQUESTS = 400
+CLIENTS = 8
 # answer_lost, how = "reset", at the largest dose of the site: for 4 s, share = 0.5 of the servers
 # lose the answers of x = 0.05 of the requests that they ran, here of each twentieth.
 AFFECTED_SERVERS = 2
