Record, replicate and report the departure of a server that a registry doesn't know

Cause: registries hold servers in memory only, and `handle_leave` answered 200 for an unknown server without recording anything. After a restart of all registries every server is unknown until its next heartbeat, and one that leaves sends none; the proxies still have it as ready.

Change: the departure becomes a `gone` row with the id alone, replicated to most registries before the acknowledgement and reported to proxies; who knows more of the server keeps that.

--- a/loomstand/registry/instances.py
+++ b/loomstand/registry/instances.py
@@ -35,7 +35,8 @@
 
     Attributes:
         id: Identifier that the server chose for itself.
-        address: `host:port` at which it takes requests.
+        address: `host:port` at which it takes requests; empty, as are service and zone, for a
+            server that left a registry which didn't know it.
         service: Name of the service it belongs to.
         zone: Name of its zone.
         slots: Number of requests that it serves concurrently.
@@ -55,6 +56,20 @@
     slow_start_until: float
     changed_at_revision: int = 0
 
+    @classmethod
+    def unknown_gone(cls, instance_id: str) -> Instance:
+        """Returns a server that has ended, and of which nothing but its id is known."""
+        return cls(
+            id=instance_id,
+            address="",
+            service="",
+            zone="",
+            slots=0,
+            state=GONE,
+            sequence=GONE_SEQUENCE,
+            slow_start_until=0.0,
+        )
+
     @classmethod
     def from_row(cls, row: InstanceRow, now: float) -> Instance:
         """Converts a row of a message.
@@ -127,6 +142,9 @@
         current = self.by_id.get(instance.id)
         if current is not None and instance.sequence <= current.sequence:
             return False  # delayed in the network
+        if current is not None and instance.state == GONE:
+            # the sender may not have known the server's address and service
+            instance = replace(current, state=GONE, sequence=instance.sequence)
         if instance.state != SILENT:
             self._record_heartbeat_time(instance.id, heartbeat_at)
         if current is not None and not instance.differs(current):
@@ -153,7 +171,7 @@
             del self.id_by_address[instance.address]
 
     def mark_gone(self, instance_id: str) -> bool:
-        """Marks a server as ended.
+        """Marks a known server as ended.
 
         Returns:
             Whether the change must be reported to limiters.
@@ -164,6 +182,18 @@
         gone = replace(current, state=GONE, sequence=GONE_SEQUENCE)
         return self.apply(gone, self.last_heartbeat_at.get(instance_id, 0.0))
 
+    def record_leave(self, instance_id: str, now: float) -> bool:
+        """Marks a server that called to leave as ended, whether or not it is known.
+
+        A registry knows no server after a restart, but limiters and other registries may.
+
+        Returns:
+            Whether the change must be reported to limiters.
+        """
+        if instance_id in self.by_id:
+            return self.mark_gone(instance_id)
+        return self.apply(Instance.unknown_gone(instance_id), now)
+
     def apply_heartbeat(self, instance_id: str, sequence: int, heartbeat_at: float) -> bool:
         """Applies a heartbeat that another registry received.
 
--- a/loomstand/registry/server_heartbeats.py
+++ b/loomstand/registry/server_heartbeats.py
@@ -3,7 +3,8 @@
 A drain or leave is a departure. After an acknowledged departure no proxy that is connected to the
 core may send requests to the server. A registry that is partitioned from the others therefore
 acknowledges no departure, as proxies that only reach the others would still send requests to the
-server. The server then calls another registry.
+server. The server then calls another registry. A server that leaves may be unknown to the registry
+after a restart; proxies may still use it, so its departure is recorded and replicated all the same.
 """
 
 from __future__ import annotations
@@ -128,9 +129,7 @@
         instance_id = request.query.get("of", "")
         if not instance_id:
             raise BadRequestError("of: a server's id is needed")
-        if instance_id not in self._instances.by_id:
-            return EMPTY_RESPONSE  # unknown here, so nothing to replicate
-        if self._instances.mark_gone(instance_id):
+        if self._instances.record_leave(instance_id, self._context.clock()):
             # the acknowledgement of an earlier drain doesn't cover this change
             self._acknowledged_at.pop(instance_id, None)
             self._context.notifier.notify()
--- a/loomstand/rpc/messages/rows.py
+++ b/loomstand/rpc/messages/rows.py
@@ -80,7 +80,8 @@
 
     Attributes:
         instance_id: Identifier that the server chose for itself.
-        address: `host:port` at which the server accepts requests.
+        address: `host:port` at which the server accepts requests; empty, as are service and zone,
+            if it left a registry that didn't know it.
         service: Name of the server's service.
         zone: Name of the server's zone.
         slots: Number of requests that the server handles concurrently.
--- a/loomstand/testing/simulation/workload.py
+++ b/loomstand/testing/simulation/workload.py
@@ -79,7 +79,7 @@
         self.id, self.state, self.sequence = f"i-{self.rng.getrandbits(32):08x}", "ready", 0
         self.process, self.busy, self.waiting = SimProcess(), 0, 0
         self.streams = self.make_streams(self.process)
-        self.spawn(self.run())
+        self.heartbeats = self.spawn(self.run())
 
     def make_streams(self, process: SimProcess) -> Streams:
         """Returns the streams that a process listens and connects with."""
@@ -93,12 +93,13 @@
         if self.port is not None:
             self.port.close()
 
-    def spawn(self, work: Any) -> None:
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
         """Runs a coroutine as a task of the server's process."""
         assert self.process is not None
         task = asyncio.get_running_loop().create_task(work, context=self.process.context())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     async def run(self) -> None:
         """Listens, then sends heartbeats every 1.5 s on average."""
--- /dev/null
+++ b/tests/registry/test_departures.py
@@ -0,0 +1,99 @@
+"""Servers that leave while the registries, which hold them in memory only, are killed and restart.
+
+After an acknowledged departure no proxy may use the server, whichever registry acknowledged it and
+whatever that registry knew of the server.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from loomstand.registry.instances import GONE
+from loomstand.testing.simulation.cluster import Cluster
+from loomstand.testing.simulation.workload import Server
+
+DRAIN_SECONDS = 2.5  # the operators' bound from an acknowledged departure to the last request
+DOWN_SECONDS = 0.5
+LEAVE_RETRY_SECONDS = 0.05
+SECONDS_AFTER_DEPARTURE = 12.0
+
+
+@pytest.fixture
+def cluster():
+    started = Cluster(23)
+    started.run(started.start())
+    yield started
+    started.close()
+
+
+async def leave_until_acknowledged(server: Server) -> float:
+    """Repeats the call at the next registry until it is acknowledged; returns the time of that."""
+    while not await server.call_registry(f"instances.leave&of={server.id}", b""):
+        server.core_index += 1
+        await asyncio.sleep(LEAVE_RETRY_SECONDS)
+    return server.last_acknowledgement[0]
+
+
+def kill_core(cluster: Cluster, with_stores: bool = True) -> None:
+    """Kills all registries and, unless told otherwise, all stores; disks are kept."""
+    for ip in cluster.core_ips:
+        cluster.registries[ip].kill()
+        if with_stores:
+            cluster.stores[ip].kill()
+
+
+async def start_core(cluster: Cluster, interval_seconds: float = 0.0) -> None:
+    """Starts what isn't running, machine by machine at an interval."""
+    for ip in cluster.core_ips:
+        for host in cluster.core(ip):
+            if not host.up:
+                host.start()
+        await asyncio.sleep(interval_seconds)
+
+
+def states_at_proxies(cluster: Cluster, instance_id: str) -> list[str]:
+    """The availability of a server at each running proxy."""
+    return [
+        proxy.endpoints.view.instances[instance_id].availability
+        for proxy in cluster.running_proxies()
+    ]
+
+
+async def late_runs(cluster: Cluster, server: Server, acknowledged_at: float) -> list[float]:
+    """Sends requests for a while; returns when one reached the server later than the bound."""
+    seconds = acknowledged_at + SECONDS_AFTER_DEPARTURE - cluster.loop.time()
+    client = cluster.new_client()
+    await cluster.send_requests(
+        client, 40.0, seconds, "GET", "town.example", "/a/x?n=1", "key-of-ann", idempotent=True
+    )
+    return [
+        arrival.at - acknowledged_at
+        for arrival in cluster.request_log.arrivals
+        if arrival.server == server.id and arrival.at > acknowledged_at + DRAIN_SECONDS
+    ]
+
+
+@pytest.mark.parametrize("with_stores", [True, False], ids=["core", "registries"])
+@pytest.mark.parametrize("interval_seconds", [0.0, 0.4])
+def test_a_leave_after_a_kill_of_all_registries_reaches_every_proxy(
+    cluster, with_stores, interval_seconds
+):
+    """A registry that has just started doesn't know the server, and must report its end."""
+    server = cluster.servers["alpha"][0]
+
+    async def leave_during_restart() -> float:
+        kill_core(cluster, with_stores)
+        server.heartbeats.cancel()
+        leave = asyncio.ensure_future(leave_until_acknowledged(server))
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster, interval_seconds)
+        return await leave
+
+    acknowledged_at = cluster.run(leave_during_restart())
+    assert cluster.run(late_runs(cluster, server, acknowledged_at)) == []
+    assert states_at_proxies(cluster, server.id) == [GONE] * len(cluster.proxies)
+    assert [
+        cluster.registry(ip).state.instances.by_id[server.id].state for ip in cluster.core_ips
+    ] == [GONE] * len(cluster.core_ips)
