--- a/loomstand/limiter/endings.py
+++ b/loomstand/limiter/endings.py
@@ -26,22 +26,22 @@
 
 
 CONNECT_FAILURES = {Ending.REFUSED, Ending.SILENT_CONNECT}
-# Endings caused by this limiter; with these, a request that was not written is not a failure of the
+# Endings caused by this limiter; with these, a request that did not run is not a failure of the
 # server.
 LOCAL_FAILURES = {Ending.NO_ROOM, Ending.STOPPING, Ending.CALLED_OFF}
-# Outcomes of attempts that this limiter ended after the request had been written.
+# Outcomes of attempts that this limiter ended when the server may have begun the request.
 LOCAL_ENDING_OUTCOMES = {Ending.EXPIRED: Outcome.NO_RESPONSE, Ending.CALLED_OFF: Outcome.CANCELLED}
 
 
-def attempt_outcome(ending: Ending, written: bool) -> Outcome:
+def attempt_outcome(ending: Ending, may_have_run: bool) -> Outcome:
     """Returns the outcome of an attempt whose connection ended.
 
     Args:
         ending: Why the connection ended.
-        written: Whether the last byte of the request had been written.
+        may_have_run: Whether the server may have begun the request; see
+            `ServerConnection.may_have_run`.
     """
-    if not written:
-        # A server starts a request once its last byte has arrived, so this one did not run.
+    if not may_have_run:
         return Outcome.NOT_SENT if ending in LOCAL_FAILURES else Outcome.CONNECT_FAILED
     return LOCAL_ENDING_OUTCOMES.get(ending, Outcome.CONNECTION_LOST)
 
--- a/loomstand/limiter/upstream.py
+++ b/loomstand/limiter/upstream.py
@@ -57,6 +57,14 @@
         self.idle_at = 0.0
         self.idle_timeout_seconds = inf
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have begun the attempt's request.
+
+        The servers of the stand-alone limiter begin a request once its last byte has arrived.
+        """
+        return self.sent and self.channel.written
+
     def opened(self) -> None:
         """Sends the request, unless its client has disconnected."""
         if self.attempt is not None and self.attempt.request.is_abandoned:
@@ -120,9 +128,7 @@
         self.pool.forget(self)
         if self.attempt is not None:
             attempt, self.attempt = self.attempt, None
-            limiter.attempt_ended(
-                attempt, attempt_outcome(ending, self.sent and self.channel.written)
-            )
+            limiter.attempt_ended(attempt, attempt_outcome(ending, self.may_have_run))
 
 
 class ConnectionPool(Generic[RequestT]):
@@ -195,7 +201,9 @@
             self.close(connection, Ending.IDLE)
         if self.limiter.spare_sockets() <= 0 and not self.limiter.free_socket():
             self.limiter.loop.call_soon(
-                self.limiter.attempt_ended, attempt, attempt_outcome(Ending.NO_ROOM, False)
+                self.limiter.attempt_ended,
+                attempt,
+                attempt_outcome(Ending.NO_ROOM, may_have_run=False),
             )
             return
         connection = self.connection_type(self, attempt.endpoint_id)
--- a/loomstand/proxy/upstream.py
+++ b/loomstand/proxy/upstream.py
@@ -64,6 +64,15 @@
         self.surplus = 0
         self.idle_timeout_seconds = DEFAULT_IDLE_SECONDS
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have begun the attempt's request.
+
+        A server may begin once it has the head. It may read a long body, of which the rest isn't
+        written until then, later or never.
+        """
+        return self.sent
+
     def opened(self) -> None:
         """Sends the request, unless it has expired or its client has disconnected."""
         if self.attempt is not None and self.attempt.expires_at <= self.pool.limiter.now():
--- a/loomstand/testing/simulation/wrong_answers.py
+++ b/loomstand/testing/simulation/wrong_answers.py
@@ -44,12 +44,20 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
 
+def request_id_of(head: bytes) -> str:
+    """Returns the request id in the bytes of a message that begin with its complete head."""
+    lines = head.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    fields = (line.decode("latin-1").partition(": ") for line in lines)
+    return next(value for name, _, value in fields if name.lower() == "loomstand-request-id")
+
+
 class ScriptedServerConnection(HttpConnection):
     """A server connection that answers each complete request by a script of the fixture.
 
     The steps of a script are bytes to send, seconds to wait, "reset", "close" or "half" (closes the
     sending side). A request runs unless its script begins with "refuse". If `early` of the fixture
-    is set, the next script runs as soon as a header block is complete, without the body.
+    is set, the next script is played as soon as a header block is complete, without the body; the
+    request then runs only if that script begins with "run".
     """
 
     def __init__(self, fixture: UpstreamFixture) -> None:
@@ -66,20 +74,34 @@
                 while b"\r\n\r\n" not in self.buffer:
                     await self.wait_for_data()
                 if self.fixture.early:
-                    await self.run_script(self.fixture.scripts.pop(0))
-                    self.fixture.early = False
+                    await self.answer_early(self.fixture.scripts.pop(0))
                     continue
                 message = await self.read_message()
                 script = self.fixture.scripts.pop(0) if self.fixture.scripts else []
                 if script[:1] == ["refuse"]:
                     del script[0]
                 else:
-                    self.fixture.ran.append(message.fields["loomstand-request-id"])
-                    self.fixture.ran_at[self.fixture.ran[-1]] = self.fixture.loop.time()
+                    self.record_run(message.fields["loomstand-request-id"])
                 await self.run_script(script)
         except ConnectionBrokenError:
             pass
 
+    async def answer_early(self, script: list[Any]) -> None:
+        """Plays a script for a request whose head has arrived; reads the body after it ran."""
+        is_run = script[:1] == ["run"]
+        if is_run:
+            del script[0]
+            self.record_run(request_id_of(bytes(self.buffer)))
+        await self.run_script(script)
+        self.fixture.early = False
+        if is_run:
+            await self.read_message()
+
+    def record_run(self, request_id: str) -> None:
+        """Records that the server runs a request."""
+        self.fixture.ran.append(request_id)
+        self.fixture.ran_at[request_id] = self.fixture.loop.time()
+
     async def run_script(self, script: list[Any]) -> None:
         """Runs the steps of a script."""
         for step in script:
--- a/tests/proxy/test_upstream_answers.py
+++ b/tests/proxy/test_upstream_answers.py
@@ -493,7 +493,7 @@
     connection.pool.release(connection)
 
 
-def reset_proves_non_execution(ending: Ending, written: bool) -> Outcome:
+def reset_proves_non_execution(ending: Ending, may_have_run: bool) -> Outcome:
     return (
         Outcome.CONNECT_FAILED if ending in (Ending.RESET, Ending.CLOSED) else Outcome.NO_RESPONSE
     )
