Remember the end of a server that a proxy hears of before the server itself

Callers could see requests to a server whose departure was acknowledged: a proxy that has just started passed over the `gone` row of a server that it didn't know, and then took an older `ready` row from a registry that had missed the end.

Cause: `InstanceView.update` kept nothing of such a row, so the end, which is final for a known server, had no effect on an unknown one.

Evidence: test_an_older_report_of_a_server_that_left_is_passed_over failed before.

Change: the proxy keeps the server as gone, and reports no change for it.

--- a/loomstand/proxy/instance_view.py
+++ b/loomstand/proxy/instance_view.py
@@ -87,12 +87,13 @@
         for row in rows:
             instance = self.instances.get(row.instance_id)
             if instance is None:
-                if row.state == GONE:
-                    continue
                 instance = TrackedInstance(row.address, row.service, row.zone)
                 self.instances[row.instance_id] = instance
-            was_listed = instance.sequence > UNKNOWN_SEQUENCE
-            previous.setdefault(row.instance_id, instance.availability if was_listed else "")
+                # an unknown server that is gone is no change, but an older report may follow
+                availability_before = GONE if row.state == GONE else ""
+            else:
+                availability_before = instance.availability
+            previous.setdefault(row.instance_id, availability_before)
             instance.apply(registry, row)
         return [
             instance_id
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -10,7 +10,9 @@
 
 import pytest
 
-from loomstand.registry.instances import GONE
+from loomstand.proxy.instance_view import InstanceView
+from loomstand.registry.instances import GONE, GONE_SEQUENCE, READY
+from loomstand.rpc.messages.rows import InstanceRow
 from loomstand.testing.simulation.cluster import Cluster
 from loomstand.testing.simulation.workload import Server
 
@@ -97,3 +99,13 @@
     assert [
         cluster.registry(ip).state.instances.by_id[server.id].state for ip in cluster.core_ips
     ] == [GONE] * len(cluster.core_ips)
+
+
+def test_an_older_report_of_a_server_that_left_is_passed_over():
+    """A proxy may hear of the end first, and later of the server from a registry that missed it."""
+    view = InstanceView()
+    gone = InstanceRow("i-1", "", "", "", 0, GONE, GONE_SEQUENCE, 0)
+    ready = InstanceRow("i-1", "10.0.0.9:8080", "a", "z", 2, READY, 4, 0)
+    assert view.update("r1", [gone]) == []
+    assert view.update("r2", [ready]) == []
+    assert view.instances["i-1"].availability == GONE
