Count absent core machines for the majority that acknowledges a departure

Cause: the majority was one of the registries whose stores had answered within 2.5 s; a store that has just started or is cut off lists itself alone. Rows owed to an unreachable registry were dropped by the same list.

Evidence: test_a_registry_that_restarts_while_it_is_cut_off_acknowledges_no_leave failed before in both cases, 12 acknowledgements in 12 calls.

Change: stores name the voters of the newest view that don't answer (`absent_voters`, passed over by earlier programs); registries replicate with them and count them. No departure is acknowledged while the store knows no view.

--- a/loomstand/registry/context.py
+++ b/loomstand/registry/context.py
@@ -48,7 +48,10 @@
         clock: A monotonic clock, in seconds.
         rng: Source of the random numbers that distinguish this start of the registry from others.
         notifier: Wakes the sessions that wait for a change.
-        core_hosts: IP addresses of the known core machines, sorted.
+        core_hosts: IP addresses of the core machines whose stores answered recently, sorted; the
+            seed nodes until the store on this machine first reports them.
+        absent_hosts: IP addresses of the other core machines that the stores agreed on, sorted.
+        is_core_known: Whether these are all core machines; False while the store knows no view.
         tasks: The background tasks.
         is_stopping: Whether the registry was asked to stop.
     """
@@ -59,6 +62,8 @@
     rng: Random
     notifier: ChangeNotifier
     core_hosts: tuple[str, ...] = ()
+    absent_hosts: tuple[str, ...] = ()
+    is_core_known: bool = True
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
     is_stopping: bool = False
 
@@ -77,14 +82,18 @@
         return [self.settings.store_address(host) for host in self.core_hosts]
 
     def other_registries(self) -> list[Address]:
-        """Returns the addresses of the other registries."""
-        return [
-            self.settings.registry_address(host) for host in self.core_hosts if host != self.host
-        ]
+        """Returns the addresses of the other registries, of absent core machines too.
 
-    def set_core_hosts(self, hosts: set[str]) -> None:
+        A majority of the registries is one of these and this one: a registry that is cut off, or
+        whose store has just started, would otherwise be a majority by itself.
+        """
+        hosts = sorted({*self.core_hosts, *self.absent_hosts} - {self.host})
+        return [self.settings.registry_address(host) for host in hosts]
+
+    def set_core_hosts(self, hosts: set[str], absent_hosts: set[str]) -> None:
         """Replaces the core machines; this machine is always included."""
         self.core_hosts = tuple(sorted({self.host, *hosts}))
+        self.absent_hosts = tuple(sorted(absent_hosts - {*self.core_hosts}))
 
 
 @dataclass(slots=True, frozen=True)
--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -83,7 +83,7 @@
         now = clock()
         wall_clock_seconds = time.time() if wall_seconds is None else wall_seconds
         self.context = RegistryContext(settings, network, clock, rng, ChangeNotifier(clock))
-        self.context.set_core_hosts({host for host, _ in settings.seed_nodes})
+        self.context.set_core_hosts({host for host, _ in settings.seed_nodes}, set())
         self.state = RegistryState(
             instances=InstanceTable(settings.heartbeat_seconds),
             limiters=LimiterTable(),
--- a/loomstand/registry/replication.py
+++ b/loomstand/registry/replication.py
@@ -133,7 +133,7 @@
 
         registries = self._context.other_registries()
         informed_count = 1 + sum(await asyncio.gather(*map(send, registries)))
-        return 2 * informed_count > 1 + len(registries)
+        return self._context.is_core_known and 2 * informed_count > 1 + len(registries)
 
     async def call_others(
         self, request: Request, response_type: type[ResponseT], timeout_seconds: float
--- a/loomstand/registry/store_client.py
+++ b/loomstand/registry/store_client.py
@@ -191,7 +191,11 @@
         )
         system_state_before = (configuration.is_reported_current, self._context.core_hosts)
         configuration.is_reported_current = is_current
-        self._context.set_core_hosts({host for host, _ in status.core_addresses})
+        absent_voters = status.absent_voters or ()  # `UNSET` is false
+        self._context.set_core_hosts(
+            {host for host, _ in status.core_addresses}, {host for host, _ in absent_voters}
+        )
+        self._context.is_core_known = status.epoch > 0
         if system_state_before != (is_current, self._context.core_hosts):
             self._notifier.notify_system_state()
 
--- a/loomstand/rpc/messages/configuration_messages.py
+++ b/loomstand/rpc/messages/configuration_messages.py
@@ -96,6 +96,8 @@
         conflict_count: Number of changes refused since the member's start because their version
             already has other content.
         revision: Number of this status; it differs after each change and after a restart.
+        absent_voters: Addresses of the newest known view's voters that are not in
+            `core_addresses`; absent if there is none, and from earlier releases.
     """
 
     version: int
@@ -107,6 +109,7 @@
     counting_term: CountingTermRow | None = msgspec.field(name="duty", default=None)
     conflict_count: int = msgspec.field(name="conflicts", default=0)
     revision: int = msgspec.field(name="mark", default=0)
+    absent_voters: list[Address] | msgspec.UnsetType = msgspec.UNSET
 
 
 class WaitRequest(Request, frozen=True, kw_only=True, omit_defaults=True):
--- a/loomstand/store/status_board.py
+++ b/loomstand/store/status_board.py
@@ -71,6 +71,15 @@
             is_reachable = unreachable_seconds < REPLACE_VOTER_AFTER_SECONDS
         return KnownPrimary(view.epoch, view.primary.address if is_reachable else None)
 
+    def _absent_voters(self) -> list[Address]:
+        """Returns the voters that haven't answered recently, or not yet since this start."""
+        replica = self._io.replica
+        view = replica.newest_known_view()
+        if view is None:
+            return []
+        recent = replica.peers.recent_addresses(self._io.clock())
+        return sorted(voter.address for voter in view.voters if voter.address not in recent)
+
     def _is_ready(self) -> bool:
         return self._io.replica.has_committed_version and self._counting_leases.is_fresh()
 
@@ -88,6 +97,7 @@
             "primary": primary.address,
             "backup": view.backup.address if view and view.backup else None,
             "core_addresses": replica.peers.recent_addresses(self._io.clock()),
+            "absent_voters": self._absent_voters() or msgspec.UNSET,
             "is_ready": self._is_ready(),
             "counting_term": self._counting_leases.term(),
             "conflict_count": self.conflict_count,
@@ -105,6 +115,7 @@
             self._counting_leases.term(),
             self.known_primary(),
             replica.peers.recent_addresses(now),
+            self._absent_voters(),
         )
         if snapshot != self._last_snapshot:
             self._last_snapshot = snapshot
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -101,6 +101,30 @@
     ] == [GONE] * len(cluster.core_ips)
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_a_registry_that_restarts_while_it_is_cut_off_acknowledges_no_leave(cluster, is_known):
+    """Its store, restarted as well, has not heard of the others yet, but they exist."""
+    server = cluster.servers["alpha"][0]
+    isolated = cluster.core_ips[1]
+    others = [ip for ip in cluster.core_ips if ip != isolated]
+
+    async def leave_at_isolated() -> list[bool]:
+        for host in cluster.core(isolated):
+            host.kill()
+        cluster.network.partition([isolated], others)
+        await start_core(cluster)
+        server.core_index = cluster.core_ips.index(isolated)
+        if not is_known:
+            server.heartbeats.cancel()
+        acknowledged = []
+        for _ in range(12):
+            await asyncio.sleep(0.5)
+            acknowledged.append(await server.call_registry(f"instances.leave&of={server.id}", b""))
+        return acknowledged
+
+    assert not any(cluster.run(leave_at_isolated()))
+
+
 def test_an_older_report_of_a_server_that_left_is_passed_over():
     """A proxy may hear of the end first, and later of the server from a registry that missed it."""
     view = InstanceView()
