Acknowledge a departure once the limiters in reach have it

Callers could see: a server's `leave` was acknowledged, all core machines were killed at that moment, and proxies went on with the server for as long as it served (rule DRAIN).

Cause: registries hold departures in memory only, and a proxy that has just been answered asks again after 0.1 s. Between the two nobody but the registries knew.

Change: the acknowledgement also waits, for at most 0.3 s and beside the broadcast, until each present limiter's call states the revision.

--- a/loomstand/registry/limiter_sessions.py
+++ b/loomstand/registry/limiter_sessions.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from loomstand.registry.change_notifier import ChangeNotifier
 from loomstand.registry.context import RegistryContext, RegistryState
 from loomstand.registry.counting_service import CountingService
 from loomstand.registry.replication import BROADCAST_TIMEOUT_SECONDS, Replication
@@ -67,6 +68,9 @@
         self._replication = replication
         self._session_ids = session_ids
         self._limiter_names: dict[int, str] = {}  # by session id
+        # by session id, the revision of the servers that the limiter stated in its last call
+        self._known_instances: dict[int, int] = {}
+        self._calls = ChangeNotifier(context.clock)
 
     async def handle_session(self, request: SessionRequest) -> SessionResponse:
         """Returns state newer than the limiter's, or waits `SESSION_POLL_SECONDS` for a change."""
@@ -74,6 +78,8 @@
         if is_new:
             request = self._open_session(request)
         name = self._limiter_names[request.session_id]
+        self._known_instances[request.session_id] = request.known_instances
+        self._calls.notify()
         self._limiters.record_call(name, self._context.clock())
         self._notifier.notify_limiters(self._limiters.revision)
         # after a restart of all registries, the shared clock is restored from the limiters
@@ -107,6 +113,7 @@
         ]
         for session_id in previous_sessions:
             del self._limiter_names[session_id]
+            self._known_instances.pop(session_id, None)
         session_id = self._session_ids.next()
         self._limiter_names[session_id] = name
         return msgspec.structs.replace(
@@ -117,6 +124,20 @@
             known_buckets=0,
         )
 
+    async def wait_until_known(self, instances_revision: int, timeout_seconds: float) -> None:
+        """Waits until the present limiters have the servers up to a revision, or the timeout."""
+        await self._calls.wait_until(
+            lambda: self._is_known_to_all(instances_revision), timeout_seconds
+        )
+
+    def _is_known_to_all(self, instances_revision: int) -> bool:
+        present = set(self._limiters.present)
+        return all(
+            self._known_instances.get(session_id, NO_REVISION) >= instances_revision
+            for session_id, name in self._limiter_names.items()
+            if name in present
+        )
+
     def _has_changes(self, request: SessionRequest) -> bool:
         return (
             self._instances.revision > request.known_instances
--- a/loomstand/registry/program.py
+++ b/loomstand/registry/program.py
@@ -97,7 +97,9 @@
         self.sessions = LimiterSessions(
             self.context, self.state, self.counting, self.replication, session_ids
         )
-        self.server_heartbeats = ServerHeartbeats(self.context, self.state, self.replication)
+        self.server_heartbeats = ServerHeartbeats(
+            self.context, self.state, self.replication, self.sessions
+        )
         self.operator_api = OperatorApi(
             self.context, self.state, self.counting, self.store_client, incarnation
         )
--- a/loomstand/registry/server_heartbeats.py
+++ b/loomstand/registry/server_heartbeats.py
@@ -1,14 +1,16 @@
 """HTTP calls of servers: heartbeats, which may announce a drain, and the call to leave.
 
 A drain or leave is a departure. After an acknowledged departure no proxy that is connected to the
-core may send requests to the server. A registry that is partitioned from the others therefore
-acknowledges no departure, as proxies that only reach the others would still send requests to the
-server. The server then calls another registry. A server that leaves may be unknown to the registry
-after a restart; proxies may still use it, so its departure is recorded and replicated all the same.
+core may send requests to the server, so the proxies in reach receive it before. A registry that is
+partitioned from the others acknowledges no departure, as proxies that only reach the others would
+still send requests to the server. The server then calls another registry. A server that leaves may
+be unknown to the registry after a restart; proxies may still use it, so its departure is recorded
+and replicated all the same.
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 from http import HTTPStatus
 
@@ -22,6 +24,7 @@
 )
 from loomstand.registry.http_routing import HttpRequest
 from loomstand.registry.instances import DRAINING, READY, Instance
+from loomstand.registry.limiter_sessions import LimiterSessions
 from loomstand.registry.replication import (
     BROADCAST_TIMEOUT_SECONDS,
     GOSSIP_INTERVAL_SECONDS,
@@ -31,6 +34,9 @@
 # Time for which an acknowledged departure isn't broadcast again when the server repeats its call;
 # later calls are broadcast again. A server that departs ends within seconds.
 DEPARTURE_RETENTION_SECONDS = 120.0
+# Time for which the acknowledgement of a departure waits for limiters, which ask for changes each
+# 0.1 s; one that takes longer is cut off or suspended.
+LIMITERS_TIMEOUT_SECONDS = 0.3
 NOT_REPLICATED = "too few registries are in reach to tell that the server leaves"
 
 
@@ -93,11 +99,16 @@
     """Handlers of the servers' calls, which also replicate changes to the other registries."""
 
     def __init__(
-        self, context: RegistryContext, state: RegistryState, replication: Replication
+        self,
+        context: RegistryContext,
+        state: RegistryState,
+        replication: Replication,
+        sessions: LimiterSessions,
     ) -> None:
         self._context = context
         self._instances = state.instances
         self._replication = replication
+        self._sessions = sessions
         # by id, the time at which a server's departure was acknowledged
         self._acknowledged_at: dict[str, float] = {}
 
@@ -136,11 +147,19 @@
         return await self._acknowledge_departure(instance_id)
 
     async def _acknowledge_departure(self, instance_id: str) -> HttpResponse:
-        """Acknowledges a server's departure if more than half of the registries have it."""
+        """Acknowledges a server's departure if more than half of the registries have it.
+
+        Before that, the limiters in reach receive it: the registries hold it in memory only, and
+        may all be killed right after the acknowledgement.
+        """
         now = self._context.clock()
         self._remove_old_departures(now)
         if instance_id not in self._acknowledged_at:
-            if not await self._replication.broadcast(instance_id, BROADCAST_TIMEOUT_SECONDS):
+            is_replicated, _ = await asyncio.gather(
+                self._replication.broadcast(instance_id, BROADCAST_TIMEOUT_SECONDS),
+                self._sessions.wait_until_known(self._instances.revision, LIMITERS_TIMEOUT_SECONDS),
+            )
+            if not is_replicated:
                 return error_response(HTTPStatus.SERVICE_UNAVAILABLE, NOT_REPLICATED)
             self._acknowledged_at[instance_id] = now
         return EMPTY_RESPONSE
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -101,6 +101,34 @@
     ] == [GONE] * len(cluster.core_ips)
 
 
+@pytest.mark.parametrize("delay_seconds", [0.0, 0.05, 0.2])
+@pytest.mark.parametrize("other_departures", [0, 1, 2])
+def test_a_leave_acknowledged_just_before_a_kill_of_all_registries_reaches_every_proxy(
+    cluster, delay_seconds, other_departures
+):
+    """The registries that acknowledged it lose it; the proxies must have it by then.
+
+    After two changes in a row, as of other servers that leave, a proxy asks for more 0.1 s later.
+    """
+    server = cluster.servers["alpha"][0]
+
+    async def leave_and_kill() -> float:
+        server.heartbeats.cancel()
+        for other in cluster.servers["beta"][:other_departures]:
+            other.heartbeats.cancel()
+            await leave_until_acknowledged(other)
+        acknowledged_at = await leave_until_acknowledged(server)
+        await asyncio.sleep(delay_seconds)
+        kill_core(cluster)
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+        return acknowledged_at
+
+    acknowledged_at = cluster.run(leave_and_kill())
+    assert cluster.run(late_runs(cluster, server, acknowledged_at)) == []
+    assert states_at_proxies(cluster, server.id) == [GONE] * len(cluster.proxies)
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 def test_a_registry_that_restarts_while_it_is_cut_off_acknowledges_no_leave(cluster, is_known):
     """Its store, restarted as well, has not heard of the others yet, but they exist."""
