Take servers that no registry lists since their restart out of use

Callers could see: a server that ended while all registries were down was chosen for requests without end by proxies that had known it; each attempt failed at its connect.

Cause: a server without a report counts as ready, so that a restart of the registries takes nobody out of use, and nothing ended that state.

Evidence: test_a_server_that_ends_while_all_registries_are_down_is_not_used_for_good failed before: 8 s after the restart all four proxies had it as ready.

Change: once the sessions with all responding registries are three heartbeat intervals old, a server that none lists is silent until one lists it again.

Where a registry stays down for good its last report still stands.

--- a/loomstand/proxy/endpoint_updates.py
+++ b/loomstand/proxy/endpoint_updates.py
@@ -52,8 +52,15 @@
         self, registry: str, rows: Sequence[InstanceRow], is_new_session: bool
     ) -> tuple[Endpoint, ...]:
         """Applies rows from a registry; returns the endpoints that changed."""
+        return self._changed_endpoints(self.view.update(registry, rows, is_new_session))
+
+    def mark_unlisted_silent(self) -> tuple[Endpoint, ...]:
+        """Takes servers that no registry lists out of use; returns the endpoints that changed."""
+        return self._changed_endpoints(self.view.mark_unlisted_silent())
+
+    def _changed_endpoints(self, instance_ids: Sequence[str]) -> tuple[Endpoint, ...]:
         changed = []
-        for instance_id in self.view.update(registry, rows, is_new_session):
+        for instance_id in instance_ids:
             instance = self.view.instances[instance_id]
             index = self._indices.get(instance_id)
             if index is None:
--- a/loomstand/proxy/instance_view.py
+++ b/loomstand/proxy/instance_view.py
@@ -11,6 +11,8 @@
 from loomstand.registry.instances import DRAINING, GONE, READY, SILENT
 from loomstand.rpc.messages.rows import InstanceRow
 
+# Takes the place of the registries in `TrackedInstance.reported_states` if none lists the server.
+UNLISTED = ""
 UNKNOWN_SEQUENCE = -1  # lower than the sequence number of any heartbeat
 
 
@@ -24,7 +26,8 @@
         zone: Name of its zone.
         state: State in the newest row: `ready`, `draining` or `gone`.
         sequence: Sequence number of its latest heartbeat.
-        reported_states: State reported by each registry, by the registry's address.
+        reported_states: State reported by each registry, by the registry's address; that of
+            `UNLISTED` if no registry lists the server.
     """
 
     address: str
@@ -50,6 +53,7 @@
 
         `gone` is final, whichever registry reports it; otherwise the newer row takes precedence.
         """
+        self.reported_states.pop(UNLISTED, None)
         self.reported_states[registry] = row.state
         is_newer = row.sequence > self.sequence
         if row.state == GONE or (self.state != GONE and is_newer and row.state != SILENT):
@@ -101,6 +105,21 @@
             if self.instances[instance_id].availability != availability
         ]
 
+    def mark_unlisted_silent(self) -> list[str]:
+        """Marks the ready servers that no registry lists as silent, until one lists them again.
+
+        Returns:
+            Identifiers of the servers that were marked.
+        """
+        unlisted = [
+            instance_id
+            for instance_id, instance in self.instances.items()
+            if instance.availability == READY and not instance.reported_states
+        ]
+        for instance_id in unlisted:
+            self.instances[instance_id].reported_states[UNLISTED] = SILENT
+        return unlisted
+
     def _withdraw_reports(self, registry: str) -> dict[str, str]:
         """Discards a registry's reports; returns the previous availability of these servers."""
         previous = {
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 
+from loomstand.admission.endpoints import Endpoint
 from loomstand.admission.events import EndpointsUpdated, SettingsChanged, TenantTotalUpdated
 from loomstand.admission.ticks import TICKS_PER_SECOND
 from loomstand.config.settings import Settings
@@ -23,6 +24,7 @@
 from loomstand.proxy.readiness import ReadinessEndpoint
 from loomstand.proxy.sessions import Sessions
 from loomstand.proxy.shared_clock import SharedClock
+from loomstand.registry.instances import MAX_MISSED_HEARTBEATS
 from loomstand.registry.quota_buckets import INTERVAL_SLOT_BITS
 from loomstand.rpc.messages.rows import InstanceRow
 from loomstand.rpc.messages.session_messages import LimiterSetRow, TenantTotalRow
@@ -109,9 +111,25 @@
 
     def on_sweep(self) -> None:
         """Updates the state that depends on time alone; called once a second."""
+        self._mark_unlisted_silent()
         self.update_readiness()
         self.counter_client.replay.remove_expired(self.loop.time())
 
+    def _mark_unlisted_silent(self) -> None:
+        """Takes servers out of use that no registry lists since all of them restarted.
+
+        Registries that have run for as long as it takes to call a server silent know of all.
+        """
+        silent_after_seconds = MAX_MISSED_HEARTBEATS * self.settings.heartbeat_seconds
+        if self.sessions.are_complete(silent_after_seconds):
+            self._apply_endpoints(self.endpoints.mark_unlisted_silent())
+
+    def _apply_endpoints(self, changed: tuple[Endpoint, ...]) -> None:
+        if changed:
+            self.handle_event(EndpointsUpdated(changed, False))
+            self.update_readiness()
+            self.queue.release_ready()
+
     def update_readiness(self) -> None:
         """Updates readiness: requires the newest configuration and at least one known server."""
         is_ready = (
@@ -135,11 +153,7 @@
         self, registry: str, rows: Sequence[InstanceRow], is_new_session: bool
     ) -> None:
         """Applies changes of servers."""
-        changed = self.endpoints.update(registry, rows, is_new_session)
-        if changed:
-            self.handle_event(EndpointsUpdated(changed, False))
-            self.update_readiness()
-            self.queue.release_ready()
+        self._apply_endpoints(self.endpoints.update(registry, rows, is_new_session))
 
     def update_limiters(self, limiters: LimiterSetRow) -> None:
         """Applies a change of the set of limiters that share the quotas."""
--- a/loomstand/proxy/sessions.py
+++ b/loomstand/proxy/sessions.py
@@ -111,6 +111,7 @@
         tasks: By address of a core machine, the task of its session.
         last_listed_at: By core machine, the last time that a registry listed it or it responded.
         last_answer_at: By registry, the time of its last response.
+        session_opened_at: By registry, the time at which its session was opened.
     """
 
     def __init__(
@@ -130,6 +131,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.last_listed_at: dict[str, float] = {}
         self.last_answer_at: dict[str, float] = {}
+        self.session_opened_at: dict[str, float] = {}
         self._settings = settings
         self._network = network
         self._clock = clock
@@ -175,6 +177,14 @@
         endpoints = self._recently_reported(self.counters) or list(self.counters.values())
         return max(endpoints, key=_counter_order, default=None)
 
+    def are_complete(self, age_seconds: float) -> bool:
+        """Returns whether registries respond and the sessions with all of these have this age.
+
+        Together they list every live server by then, if the age is a few heartbeat intervals.
+        """
+        opened_at = self._recently_reported(self.session_opened_at)
+        return bool(opened_at) and self._clock() - max(opened_at) >= age_seconds
+
     async def call_counter(
         self, request: Request, response_type: type[ResponseT], timeout_seconds: float
     ) -> Result[ResponseT, CallFailure]:
@@ -269,6 +279,7 @@
         if response.session_id is not None:
             state.session_id = response.session_id
             state.buckets_revision = 0
+            self.session_opened_at[state.host] = self._clock()
         if response.instances_revision is not None:
             state.instances_revision = response.instances_revision
         if response.instances is not None or is_new_session:
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -161,3 +161,23 @@
     assert view.update("r1", [gone]) == []
     assert view.update("r2", [ready]) == []
     assert view.instances["i-1"].availability == GONE
+
+
+def test_a_server_that_ends_while_all_registries_are_down_is_not_used_for_good(cluster):
+    """No registry lists it after the restart, and none ever reported its end."""
+    server = cluster.servers["alpha"][0]
+
+    async def end_during_restart() -> None:
+        kill_core(cluster)
+        server.heartbeats.cancel()
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+
+    cluster.run(end_during_restart())
+    cluster.wait(8.0)
+    assert READY not in states_at_proxies(cluster, server.id)
+    assert all(
+        state == READY
+        for other in cluster.servers["alpha"][1:] + cluster.servers["beta"]
+        for state in states_at_proxies(cluster, other.id)
+    )
