Refuse departures until limiters have called a registry that has just started

Cause: the acknowledgement waits for the limiters in reach, and a registry that has just started knows of none: their backoff is up to 0.75 s.

Change: a registry answers 503 to departures in its first second; it records and replicates them, and the server asks on.

--- a/loomstand/registry/server_heartbeats.py
+++ b/loomstand/registry/server_heartbeats.py
@@ -37,6 +37,10 @@
 # Time for which the acknowledgement of a departure waits for limiters, which ask for changes each
 # 0.1 s; one that takes longer is cut off or suspended.
 LIMITERS_TIMEOUT_SECONDS = 0.3
+# Time from the start of a registry until limiters that lost their session have called it again:
+# their longest backoff is 0.75 s. Until then it can't tell which limiters must hear of a departure.
+LIMITERS_RETURN_SECONDS = 1.0
+JUST_STARTED = "the registry has just started, and limiters may not have called it yet"
 NOT_REPLICATED = "too few registries are in reach to tell that the server leaves"
 
 
@@ -109,6 +113,7 @@
         self._instances = state.instances
         self._replication = replication
         self._sessions = sessions
+        self._started_at = context.clock()
         # by id, the time at which a server's departure was acknowledged
         self._acknowledged_at: dict[str, float] = {}
 
@@ -159,6 +164,8 @@
                 self._replication.broadcast(instance_id, BROADCAST_TIMEOUT_SECONDS),
                 self._sessions.wait_until_known(self._instances.revision, LIMITERS_TIMEOUT_SECONDS),
             )
+            if now - self._started_at < LIMITERS_RETURN_SECONDS:
+                return error_response(HTTPStatus.SERVICE_UNAVAILABLE, JUST_STARTED)
             if not is_replicated:
                 return error_response(HTTPStatus.SERVICE_UNAVAILABLE, NOT_REPLICATED)
             self._acknowledged_at[instance_id] = now
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -129,6 +129,30 @@
     assert states_at_proxies(cluster, server.id) == [GONE] * len(cluster.proxies)
 
 
+@pytest.mark.parametrize("delay_seconds", [0.0, 0.1, 0.3])
+def test_a_leave_acknowledged_between_two_kills_of_all_registries_reaches_every_proxy(
+    cluster, delay_seconds
+):
+    """After the first kill the proxies have no session yet, in which they could hear of it."""
+    server = cluster.servers["alpha"][0]
+
+    async def leave_between_kills() -> float:
+        server.heartbeats.cancel()
+        kill_core(cluster)
+        leave = asyncio.ensure_future(leave_until_acknowledged(server))
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+        acknowledged_at = await leave
+        await asyncio.sleep(delay_seconds)
+        kill_core(cluster)
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+        return acknowledged_at
+
+    acknowledged_at = cluster.run(leave_between_kills())
+    assert cluster.run(late_runs(cluster, server, acknowledged_at)) == []
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 def test_a_registry_that_restarts_while_it_is_cut_off_acknowledges_no_leave(cluster, is_known):
     """Its store, restarted as well, has not heard of the others yet, but they exist."""
