Soak: send the second SIGTERM only to a process that is terminating

No program was at fault.

Cause: `terminate_again` took any busy process whose last disturbance was planned for one that stops. A frozen one is busy too: it got SIGTERM without anybody to restart it, and -15 where it was still starting.

Change: `is_terminating`, from SIGTERM until the exit. Checks are as they were.

--- a/loomstand/testing/soak/processes.py
+++ b/loomstand/testing/soak/processes.py
@@ -71,6 +71,7 @@
         overdue_at: Times at which it exceeded its grace period and got SIGKILL, in seconds by the
             event loop's clock.
         is_busy: Whether a stop with a restart, or a freeze, is in progress.
+        is_terminating: Whether it got SIGTERM and has not exited yet.
     """
 
     name: str
@@ -84,6 +85,7 @@
     faults: list[str] = field(default_factory=list)
     overdue_at: list[float] = field(default_factory=list)
     is_busy: bool = False
+    is_terminating: bool = False
 
     @staticmethod
     def _now() -> float:
@@ -141,7 +143,7 @@
 
     async def terminate_again(self) -> None:
         """Sends another SIGTERM to a process that is already stopping; otherwise does nothing."""
-        if self.is_busy and self.disturbances and self.disturbances[-1].is_planned:
+        if self.is_terminating:
             self.send(signal.SIGTERM)
 
     async def kill(self, restart: bool = True) -> None:
@@ -171,6 +173,7 @@
         # open-ended until the restart, as checks may read the disturbances before that
         self.disturbances.append(Disturbance(began, inf, is_planned))
         self.send(number)
+        self.is_terminating = is_planned
         is_overdue = False
         try:
             timeout = None if grace_seconds == inf else grace_seconds
@@ -182,6 +185,7 @@
             self.disturbances.insert(0, Disturbance(now, now, is_planned=False))
             self.send(signal.SIGKILL)
             await self.process.wait()
+        self.is_terminating = False
         allowed = (0, -signal.SIGTERM) if is_starting else (0,)
         if is_planned and not is_overdue and self.process.returncode not in allowed:
             self.faults.append(f"{self.name}: exit status {self.process.returncode} after SIGTERM")
--- /dev/null
+++ b/tests/testing/soak/test_processes.py
@@ -0,0 +1,37 @@
+"""Signals that the soak test sends to its processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from loomstand.testing.soak.processes import Disturbance, ProgramProcess
+
+
+class RecordingProcess:
+    """Stands in for a running process; records the signals that it gets."""
+
+    returncode = None
+
+    def __init__(self) -> None:
+        self.signals: list[signal.Signals] = []
+
+    def send_signal(self, number: signal.Signals) -> None:
+        self.signals.append(number)
+
+
+def test_a_frozen_process_that_was_restarted_before_gets_no_second_sigterm():
+    """A frozen process may still be starting, and SIGTERM then ends it by its default action."""
+
+    async def run() -> list[signal.Signals]:
+        process = ProgramProcess("p", "m", "127.0.0.1", lambda _: None, Path("s"), Path("l"))
+        process.process = RecordingProcess()  # type: ignore[assignment]
+        process.disturbances.append(Disturbance(0.0, 1.0, is_planned=True))
+        freeze = asyncio.ensure_future(process.freeze(0.02))
+        await asyncio.sleep(0.01)
+        await process.terminate_again()
+        await freeze
+        return process.process.signals  # type: ignore[union-attr]
+
+    assert asyncio.run(run()) == [signal.SIGSTOP, signal.SIGCONT]
