--- a/tests/test_golden_programs.py
+++ b/tests/test_golden_programs.py
@@ -125,6 +125,7 @@
     name, former_name, new_shapes, missing_shapes
 ):
     former, current = load(former_name), load(name)
+    assert ("disks" in former) == ("disks" in current) == (name == "town")
     assert former.get("disks") == current.get("disks")
     shapes = [
         {(call, shape) for call, examples in run["exchanges"].items() for shape in examples}
