Counter client: replace a connection whose response doesn't end

Seen: test_a_call_after_an_incomplete_counter_response_uses_another_connection failed twice in three runs of the tests on sockets beside load. A limiter lost two counter calls in place of one: the next call went to the connection that still owed the end of a response.

Cause: a connection counts as silent from the last bytes received. The first bytes of a response that never ends arrived a few milliseconds after the call, so that at the call's time-out the connection had been silent for less than the time-out and was kept. The test passed where the bytes came within the tolerance of 1 ms.

Change: the silence counts from the last complete response, or from the sending of the oldest call without one. The test opens the connection by a call of its own, so that neither the time of a connect nor that of the first bytes decides, has the bytes late as well (30 ms), and asks for the count of connections.

--- a/loomstand/limiter/counter.py
+++ b/loomstand/limiter/counter.py
@@ -47,11 +47,11 @@
         parser: Parses the responses.
         channel: The buffered connection.
         calls: Calls sent without a response so far, in the order in which they were sent.
-        last_received_at: Loop time of the last bytes received, or of the last call sent while no
-            other was pending.
+        last_response_at: Loop time of the last complete response, or of the last call sent while
+            no other was pending.
     """
 
-    __slots__ = ("calls", "channel", "client", "is_open", "last_received_at", "parser")
+    __slots__ = ("calls", "channel", "client", "is_open", "last_response_at", "parser")
 
     def __init__(self, client: CounterClient) -> None:
         self.client, self.is_open = client, False
@@ -60,7 +60,7 @@
             self, client.limiter.memory_budget, http_parser.MAX_MESSAGE_BYTES
         )
         self.calls: deque[Call] = deque()
-        self.last_received_at = client.limiter.loop.time()
+        self.last_response_at = client.limiter.loop.time()
 
     def opened(self) -> None:
         """Sends the queued calls."""
@@ -69,14 +69,14 @@
 
     def received(self) -> None:
         """Parses received responses; an invalid one ends the connection."""
-        self.last_received_at = self.client.limiter.loop.time()
-        self.client.silence_timeout = self.client.timeout
         try:
             while self.channel.ending is None and self.parser.step(self.channel.inbound):
                 if not self.calls:
                     raise http_parser.Malformed(502, "a response without a call")
                 status, body, close = self.parser.status, self.parser.body, self.parser.close
                 self.parser.reset()
+                self.last_response_at = self.client.limiter.loop.time()
+                self.client.silence_timeout = self.client.timeout
                 is_valid = self.client.response_received(self.calls.popleft(), status, body)
                 if close or not is_valid or (self.channel.inbound.used and not self.calls):
                     self.channel.stop(Ending.FINISHED if close else Ending.MALFORMED)
@@ -173,7 +173,7 @@
                 return
             self.queue.popleft()
             if not connection.calls:
-                connection.last_received_at = self.limiter.loop.time()
+                connection.last_response_at = self.limiter.loop.time()
             call.is_written = True
             connection.calls.append(call)
 
@@ -205,7 +205,7 @@
             connection is not None
             and connection.is_open
             and connection.calls
-            and now - connection.last_received_at > self.silence_timeout - SILENCE_TOLERANCE_SECONDS
+            and now - connection.last_response_at > self.silence_timeout - SILENCE_TOLERANCE_SECONDS
         ):
             # The counter sent no response, or none that is complete. A new connection shows whether
             # its machine is reachable; if the machine has only stalled, the old connection has
--- a/tests/limiter/test_limiter_on_sockets.py
+++ b/tests/limiter/test_limiter_on_sockets.py
@@ -592,18 +592,28 @@
         assert replies == [first, (Outcome.SUCCEEDED, 4.0)] and harness.counter.connections == 2
 
 
+@pytest.mark.parametrize("first_bytes_after_seconds", [0.0, 0.03])
 @socket_test
-async def test_a_call_after_an_incomplete_counter_response_uses_another_connection():
-    endless = b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n1"
+async def test_a_call_after_an_incomplete_counter_response_uses_another_connection(
+    first_bytes_after_seconds,
+):
+    """The bytes of a response that doesn't end must not make its connection count as alive."""
+
+    async def incomplete_response() -> bytes:
+        await asyncio.sleep(first_bytes_after_seconds)
+        return b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n1"
+
     async with LimiterHarness(
-        counter=lambda n, head, body: http_response(200, b"4") if n else endless
+        counter=lambda n, head, body: incomplete_response() if n == 1 else http_response(200, b"4")
     ) as harness:
         replies = []
         harness.limiter.counter_replied = lambda *call: replies.append(call[1:3])
-        for n in range(2):
+        for n in range(3):  # the first call opens the connection
             harness.limiter.counter.call(IncrementCounter(n, 1.0, 10_000))
             await wait_until(lambda: len(replies) == n + 1)  # noqa: B023
-        assert replies == [(Outcome.NO_RESPONSE, 0.0), (Outcome.SUCCEEDED, 4.0)]
+        answered = (Outcome.SUCCEEDED, 4.0)
+        assert replies == [answered, (Outcome.NO_RESPONSE, 0.0), answered]
+        assert harness.counter.connections == 2
 
 
 @socket_test
