Restore departures at registries that restarted from the limiters that know of them

A proxy was cut off while the leave was acknowledged and reached the registries again only after their restart; or a late heartbeat of the server reached a registry that had just started, and a proxy that had been killed as well took it as ready.

Cause: registries hold departures in memory only. Limiters remember them for good, but a registry that starts restores just the shared clock and the configuration from them.

One limiter that knows suffices, so the acknowledgement no longer depends on which proxies heard of it before the kill.

--- a/loomstand/proxy/sessions.py
+++ b/loomstand/proxy/sessions.py
@@ -19,6 +19,7 @@
 
 from loomstand.config.settings import Settings
 from loomstand.proxy.configuration_fetcher import FETCH_TIMEOUT_SECONDS, ConfigurationFetcher
+from loomstand.proxy.recent_departures import RecentDepartures
 from loomstand.rpc import client
 from loomstand.rpc.errors import CallFailure
 from loomstand.rpc.messages.base import Acknowledgement, Message, Request
@@ -137,6 +138,7 @@
         self._clock = clock
         self._rng = rng
         self._listener = listener
+        self._departures = RecentDepartures()
         self._is_stopping = False
 
     def start(self) -> None:
@@ -243,6 +245,7 @@
             limiter_name=self._settings.node_name,
             shared_clock=self._listener.shared_clock_reading(),
             known_buckets=state.buckets_revision,
+            departed_instances=self._departures.instance_ids(self._clock()) or msgspec.UNSET,
         )
 
     def _is_unlisted(self, host: str) -> bool:
@@ -283,7 +286,9 @@
         if response.instances_revision is not None:
             state.instances_revision = response.instances_revision
         if response.instances is not None or is_new_session:
-            self._listener.update_instances(state.host, response.instances or [], is_new_session)
+            rows = response.instances or []
+            self._departures.record(rows, self._clock())
+            self._listener.update_instances(state.host, rows, is_new_session)
 
     def _update_system(self, host: str, response: SessionResponse) -> None:
         """Applies the core machines, the counting registry and the limiter set of a response.
--- a/loomstand/registry/limiter_sessions.py
+++ b/loomstand/registry/limiter_sessions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
 
 import msgspec
@@ -116,6 +117,7 @@
             self._known_instances.pop(session_id, None)
         session_id = self._session_ids.next()
         self._limiter_names[session_id] = name
+        self._restore_departures(request.departed_instances or ())  # `UNSET` is false
         return msgspec.structs.replace(
             request,
             session_id=session_id,
@@ -124,6 +126,15 @@
             known_buckets=0,
         )
 
+    def _restore_departures(self, instance_ids: Iterable[str]) -> None:
+        """Records servers that left before all registries, which had recorded it, restarted."""
+        now = self._context.clock()
+        is_changed = [
+            self._instances.record_leave(instance_id, now) for instance_id in instance_ids
+        ]
+        if any(is_changed):
+            self._notifier.notify()
+
     async def wait_until_known(self, instances_revision: int, timeout_seconds: float) -> None:
         """Waits until the present limiters have the servers up to a revision, or the timeout."""
         await self._calls.wait_until(
--- a/loomstand/rpc/messages/session_messages.py
+++ b/loomstand/rpc/messages/session_messages.py
@@ -31,6 +31,8 @@
         shared_clock: The limiter's reading of the shared clock in ticks of 0.1 ms; None if it has
             none; absent when a session continues.
         known_buckets: Revision of the registry's quota buckets known to the limiter.
+        departed_instances: Identifiers of servers that left recently, as known to the limiter;
+            absent if there is none, when a session continues, and from earlier releases.
     """
 
     operation: ClassVar[str] = "ask"
@@ -43,6 +45,9 @@
         name="clock", default=msgspec.UNSET
     )
     known_buckets: int = msgspec.field(name="q", default=0)
+    departed_instances: list[str] | msgspec.UnsetType = msgspec.field(
+        name="gone", default=msgspec.UNSET
+    )
 
 
 class LimiterSetRow(Row, frozen=True, array_like=True):
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -17,6 +17,7 @@
 from loomstand.testing.simulation.workload import Server
 
 DRAIN_SECONDS = 2.5  # the operators' bound from an acknowledged departure to the last request
+CONTACT_SECONDS = 3.0  # a proxy is in touch so long after the last fault
 DOWN_SECONDS = 0.5
 LEAVE_RETRY_SECONDS = 0.05
 SECONDS_AFTER_DEPARTURE = 12.0
@@ -77,6 +78,23 @@
     ]
 
 
+async def late_runs_by_proxy(
+    cluster: Cluster, server: Server, proxy_ip: str, acknowledged_at: float
+) -> list[float]:
+    """Like `late_runs`, of one proxy that was in trouble until now."""
+    late_after = max(acknowledged_at + DRAIN_SECONDS, cluster.loop.time() + CONTACT_SECONDS)
+    requests = []
+    while cluster.loop.time() < late_after + CONTACT_SECONDS:
+        requests.append(asyncio.ensure_future(cluster.send_once("a", at=proxy_ip)))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*requests)
+    return [
+        arrival.at - acknowledged_at
+        for arrival in cluster.request_log.arrivals
+        if arrival.server == server.id and arrival.at > late_after
+    ]
+
+
 @pytest.mark.parametrize("with_stores", [True, False], ids=["core", "registries"])
 @pytest.mark.parametrize("interval_seconds", [0.0, 0.4])
 def test_a_leave_after_a_kill_of_all_registries_reaches_every_proxy(
@@ -153,6 +171,65 @@
     assert cluster.run(late_runs(cluster, server, acknowledged_at)) == []
 
 
+@pytest.mark.parametrize("proxy_index", range(4))
+@pytest.mark.parametrize("healed_after_seconds", [0.0, 2.0])
+def test_a_leave_that_a_proxy_missed_reaches_it_after_a_kill_of_all_registries(
+    cluster, proxy_index, healed_after_seconds
+):
+    """The proxy is cut off while the leave is acknowledged; the other proxies still know of it."""
+    server = cluster.servers["alpha"][0]
+    isolated = [*cluster.proxies][proxy_index]
+
+    async def leave_during_partition() -> float:
+        cluster.network.partition([isolated], cluster.core_ips)
+        await asyncio.sleep(0.3)
+        server.heartbeats.cancel()
+        acknowledged_at = await leave_until_acknowledged(server)
+        kill_core(cluster)
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+        await asyncio.sleep(healed_after_seconds)
+        cluster.network.heal()
+        return acknowledged_at
+
+    acknowledged_at = cluster.run(leave_during_partition())
+    assert cluster.run(late_runs_by_proxy(cluster, server, isolated, acknowledged_at)) == []
+
+
+@pytest.mark.parametrize("proxy_index", range(4))
+@pytest.mark.parametrize("delay_seconds", [0.3, 1.0, 2.0])
+def test_a_late_heartbeat_of_a_server_that_left_is_passed_over_after_a_kill_of_all_registries(
+    cluster, proxy_index, delay_seconds
+):
+    """A proxy that was killed as well learns of the server from the registries alone."""
+    server = cluster.servers["alpha"][0]
+    restarted = [*cluster.proxies][proxy_index]
+
+    async def leave_and_kill() -> float:
+        server.heartbeats.cancel()
+        acknowledged_at = await leave_until_acknowledged(server)
+        kill_core(cluster)
+        cluster.proxies[restarted].kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        await start_core(cluster)
+        cluster.proxies[restarted].start()
+        return acknowledged_at
+
+    async def send_late_heartbeat() -> None:
+        await asyncio.sleep(delay_seconds)
+        server.sequence -= 2  # the next one is older than the last heartbeat before the leave
+        assert await server.send_heartbeat()
+
+    async def run() -> list[float]:
+        acknowledged_at = await leave_and_kill()
+        late_runs_of_proxy, _ = await asyncio.gather(
+            late_runs_by_proxy(cluster, server, restarted, acknowledged_at), send_late_heartbeat()
+        )
+        return late_runs_of_proxy
+
+    assert cluster.run(run()) == []
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 def test_a_registry_that_restarts_while_it_is_cut_off_acknowledges_no_leave(cluster, is_known):
     """Its store, restarted as well, has not heard of the others yet, but they exist."""
