Model checker tests: bound the searches by states, not by 60 s of wall time

How many states fit into 60 s depends on what else the machine does.

Change: the tests leave the time limit at its default of 300 s. What they ask is as before: a mutant is found within 100,000 states, and a full search is complete with the same least counts.

--- a/tests/testing/model_checker/test_model_checker.py
+++ b/tests/testing/model_checker/test_model_checker.py
@@ -25,15 +25,13 @@
 
 
 def test_invariants_hold_within_small_bounds():
-    found = search(
-        StateSpace(CodeUnderTest(), narrow_bounds("restart", candidates="c", wipes=1)), seconds=60.0
-    )
+    found = search(StateSpace(CodeUnderTest(), narrow_bounds("restart", candidates="c", wipes=1)))
     assert found.is_complete and not found.violation
     assert found.states > 3000 and found.depth > 25
 
 
 def test_invariants_hold_after_a_rescue_and_the_return_of_lost_disks():
-    found = search(StateSpace(CodeUnderTest(), replace(RESCUE_BOUNDS, versions=0)), seconds=60.0)
+    found = search(StateSpace(CodeUnderTest(), replace(RESCUE_BOUNDS, versions=0)))
     assert found.is_complete and not found.violation
     assert found.states > 10_000 and found.depth > 30
 
@@ -54,7 +52,7 @@
     ],
 )
 def test_invariants_hold_with_reads_shutdowns_and_learner_copies(bounds, min_states):
-    found = search(StateSpace(CodeUnderTest(), bounds), seconds=60.0)
+    found = search(StateSpace(CodeUnderTest(), bounds))
     assert found.is_complete and not found.violation
     assert found.states > min_states
 
@@ -62,7 +60,7 @@
 @pytest.mark.parametrize("name", [n for n, m in MUTANTS.items() if m.is_fast])
 def test_mutant_is_detected(name):
     mutant = MUTANTS[name]
-    found = search(StateSpace(mutant.code, mutant.bounds), states=100_000, seconds=60.0)
+    found = search(StateSpace(mutant.code, mutant.bounds), states=100_000)
     assert found.violation[1:2] in [*mutant.invariants], found
     assert found.trace[-1].endswith(found.violation)
 
