Cancel waits of proxies and registries that complete in the same loop step

Callers could see: a proxy that got SIGTERM answered what it had accepted and never exited, or registered again after it had deregistered, if in the loop step of its stop a tenant ran short of credits or the connection to a registry opened. Not met at a whole proxy so far.

Cause: before Python 3.12 asyncio.wait_for returns the result if the awaited future completes in the step in which its task is cancelled. The cancellation is lost, and a task that loops over such a wait (credit client, session) never ends.

Change: rpc.timeouts.wait_for raises the cancellation.

--- a/loomstand/proxy/credit_client.py
+++ b/loomstand/proxy/credit_client.py
@@ -12,6 +12,7 @@
 from loomstand.proxy.counter_client import COUNTER_TIMEOUT_SECONDS, CounterCaller
 from loomstand.proxy.quota_credits import QuotaCredits
 from loomstand.rpc.messages.quota_messages import CreditResponse
+from loomstand.rpc.timeouts import wait_for
 
 MAX_REQUEST_INTERVAL_SECONDS = 0.4  # half of the time after which a limiter is isolated
 MIN_REQUEST_INTERVAL_SECONDS = 0.02
@@ -69,4 +70,4 @@
     async def _wait_for_shortage(self) -> None:
         timeout_seconds = MAX_REQUEST_INTERVAL_SECONDS - MIN_REQUEST_INTERVAL_SECONDS
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.is_short.wait(), timeout_seconds)
+            await wait_for(self.is_short.wait(), timeout_seconds)
--- a/loomstand/registry/change_notifier.py
+++ b/loomstand/registry/change_notifier.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from loomstand.rpc.timeouts import wait_for
+
 
 class ChangeNotifier:
     """Waiting sessions, woken in the order in which they began to wait.
@@ -57,7 +59,7 @@
             waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
             self._waiters[waiter] = None
             try:
-                await asyncio.wait_for(waiter, remaining_seconds)
+                await wait_for(waiter, remaining_seconds)
             except TimeoutError:
                 return
             finally:
--- a/loomstand/rpc/tcp_network.py
+++ b/loomstand/rpc/tcp_network.py
@@ -10,6 +10,7 @@
 from loomstand.rpc.errors import CallFailure, FrameError
 from loomstand.rpc.network import Address, Body, CallHandler
 from loomstand.rpc.tcp_connection import ClientConnection, ServerConnection, TcpConnection
+from loomstand.rpc.timeouts import wait_for
 
 # Timeout for opening a connection. Within a region it takes 3 ms, so a machine that doesn't accept
 # within this time is down or unreachable.
@@ -87,7 +88,7 @@
             self._connecting[address] = task
             task.add_done_callback(lambda done: self._on_connecting_ended(address, done))
         try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout_seconds)
+            return await wait_for(asyncio.shield(task), timeout_seconds)
         except (OSError, TimeoutError):
             return None
 
