Rehearsal: end the driver's health checks when they are cancelled as a connection resets

By hand, 1 of 150 rehearsals killed beside load left driver0 waiting in epoll for good.

When a rehearsal is killed the kernel kills its limiters, whose connections are reset, and the driver's input ends, so that it cancels its health checks. Both in one step: the check goes on forever, and asyncio.run waits for it.

Change: the tools use asyncio.timeout.

--- a/loomstand/testing/rehearsal/driver.py
+++ b/loomstand/testing/rehearsal/driver.py
@@ -63,7 +63,8 @@
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(raw)
         try:
-            return await asyncio.wait_for(self.answer, timeout_seconds)
+            async with asyncio.timeout(timeout_seconds):
+                return await self.answer
         finally:
             self.request_count += 1
             self.answer = None
@@ -81,8 +82,11 @@
     async def connect(self, timeout_seconds: float) -> ClientConnection:
         """Opens a connection to the limiter. Raises OSError or TimeoutError."""
         loop = asyncio.get_running_loop()
-        connecting = loop.create_connection(ClientConnection, self.driver.host, self.port)
-        return (await asyncio.wait_for(connecting, timeout_seconds))[1]
+        async with asyncio.timeout(timeout_seconds):
+            _, connection = await loop.create_connection(
+                ClientConnection, self.driver.host, self.port
+            )
+        return connection
 
     async def request(self, raw: bytes, timeout_seconds: float) -> tuple[int, bytes]:
         """Sends a request and returns status and body.
--- a/loomstand/testing/rehearsal/runner.py
+++ b/loomstand/testing/rehearsal/runner.py
@@ -217,7 +217,8 @@
             options = {"host": self.host, "seed": f"{self.seed}-{name}", **config()}
             options["trail"] = str(self.events_folder / f"{name.replace(':', '-')}.jsonl")
             process.stdin.write(msgspec.json.encode(options) + b"\n")
-            line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_SECONDS)
+            async with asyncio.timeout(START_TIMEOUT_SECONDS):
+                line = await process.stdout.readline()
             if b"ready" not in line:
                 raise RehearsalError(f"{name} did not start; see {self.out / 'log' / name}")
             for m, at in msgspec.json.decode(line)["booted"].items():
@@ -420,7 +421,8 @@
                     self.host, self.listen_ports[f"l{n}"]
                 )
                 writer.write(b"GET /-/ready HTTP/1.1\r\nHost: stage\r\nConnection: close\r\n\r\n")
-                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+                async with asyncio.timeout(1.0):
+                    head = await reader.readuntil(b"\r\n\r\n")
                 writer.close()
                 if head[9:12] == b"200":
                     self.record("ready", f"l{n}")
--- a/loomstand/testing/soak/processes.py
+++ b/loomstand/testing/soak/processes.py
@@ -176,8 +176,8 @@
         self.is_terminating = is_planned
         is_overdue = False
         try:
-            timeout = None if grace_seconds == inf else grace_seconds
-            await asyncio.wait_for(self.process.wait(), timeout)
+            async with asyncio.timeout(None if grace_seconds == inf else grace_seconds):
+                await self.process.wait()
         except TimeoutError:
             is_overdue = True
             now = self._now()
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -14,6 +14,7 @@
 from loomstand.registry.change_notifier import ChangeNotifier
 from loomstand.rpc.messages.quota_messages import CreditResponse
 from loomstand.rpc.tcp_network import TcpNetwork
+from loomstand.testing.rehearsal.driver import ClientConnection, LimiterPath
 from loomstand.testing.simulation.loop import run_simulated
 
 END_SECONDS = 30.0  # of simulated time, longer than each wait below
@@ -94,3 +95,27 @@
         return await is_ended_by_cancel(wait_twice(), notifier.notify, steps)
 
     assert run_simulated(run)
+
+
+@STEPS
+def test_health_checks_end_when_they_are_cancelled_as_a_limiter_resets_the_connection(steps):
+    """A rehearsal's driver outlived the rehearsal: its input ended as the limiters were killed."""
+
+    async def run() -> bool:
+        driver = SimpleNamespace(
+            rehearsal=SimpleNamespace(known=True),
+            rng=SimpleNamespace(random=lambda: 0.0),
+            is_over=False,
+            record=lambda *_event: None,
+        )
+        path = LimiterPath(driver, 0, 0, 1)
+        connection = ClientConnection()
+        transport = SimpleNamespace(
+            is_closing=lambda: False, write=lambda _raw: None, abort=lambda: None
+        )
+        connection.connection_made(transport)
+        path.idle.append(connection)
+        checking = path.check_health(2 * END_SECONDS, 2 * END_SECONDS)
+        return await is_ended_by_cancel(checking, lambda: connection.connection_lost(None), steps)
+
+    assert run_simulated(run)
