--- a/benchmarks/lab_calibrate.py
+++ b/benchmarks/lab_calibrate.py
@@ -198,9 +198,8 @@
         try:
             reader, writer = await asyncio.open_connection(HOST, port)
             writer.write(raw.encode())
-            head = await asyncio.wait_for(
-                reader.readuntil(b"\r\n\r\n"), g.client_timeout_ms / 1000 + 0.5
-            )
+            async with asyncio.timeout(g.client_timeout_ms / 1000 + 0.5):
+                head = await reader.readuntil(b"\r\n\r\n")
             writer.close()
         except (TimeoutError, OSError, asyncio.IncompleteReadError):
             counts["other"] += 1
--- a/loomstand/rpc/timeouts.py
+++ b/loomstand/rpc/timeouts.py
@@ -24,7 +24,7 @@
         raise RuntimeError("wait_for was called outside of a task")
     cancellations_before = task.cancelling()
     try:
-        return await asyncio.wait_for(awaitable, timeout_seconds)
+        return await asyncio.wait_for(awaitable, timeout_seconds)  # noqa: TID251
     finally:
         if task.cancelling() > cancellations_before:
             raise asyncio.CancelledError
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -568,7 +568,8 @@
 
     async def read_response(self) -> tuple[int, bytes, bytes]:
         """Status, head and body of the next response."""
-        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 4)
+        async with asyncio.timeout(4):
+            head = await self.reader.readuntil(b"\r\n\r\n")
         length = int(re.search(rb"Content-Length: (\d+)", head)[1])
         return int(head[9:12]), head, await self.reader.readexactly(length)
 
@@ -578,7 +579,8 @@
         Raises:
             TimeoutError: The connection is still open after 4 s.
         """
-        return await asyncio.wait_for(self.reader.read(1), 4) == b""
+        async with asyncio.timeout(4):
+            return await self.reader.read(1) == b""
 
 
 class LimiterHarness:
--- a/tests/limiter/test_limiter_on_sockets.py
+++ b/tests/limiter/test_limiter_on_sockets.py
@@ -46,12 +46,16 @@
 def socket_test(test):
     """Runs an async test with a time-out of 15 s, on an event loop with `ArrivalClockSelector`."""
 
+    async def run_within_timeout(*args, **kwargs):
+        async with asyncio.timeout(15):
+            await test(*args, **kwargs)
+
     @functools.wraps(test)
     def run(*args, **kwargs):
         with asyncio.Runner(
             loop_factory=lambda: asyncio.SelectorEventLoop(ArrivalClockSelector())
         ) as runner:
-            runner.run(asyncio.wait_for(test(*args, **kwargs), 15))
+            runner.run(run_within_timeout(*args, **kwargs))
 
     return run
 
--- a/tests/store/test_many_changes.py
+++ b/tests/store/test_many_changes.py
@@ -29,6 +29,7 @@
 from loomstand.rpc.frames import FrameDecoder as Frames
 from loomstand.rpc.frames import encode_item
 from loomstand.rpc.messages.session_messages import ConfigurationResponse
+from loomstand.rpc.timeouts import wait_for
 from loomstand.store import disk
 from loomstand.store.change_history import MAX_ENTRIES
 from loomstand.store.disk import LmdbDisk
@@ -260,7 +261,7 @@
     duration = system.run(
         system.wait_until(lambda: system.proxy(ip).configuration.table.version >= newest, 4.0)
     )
-    system.run(asyncio.wait_for(changing, 60.0))
+    system.run(wait_for(changing, 60.0))
     system.run(
         system.wait_until(
             lambda: is_in_force_everywhere(system),
