Soak: kills of the whole core, leaves without draining, and early servers

Change: all of the core is killed in half of the runs; servers leave without draining around that kill and serve on for 3 to 12 s; half of the servers begin requests of 6 MiB at their head, reset in place of half of their answers, and read the body after the others. A run claims its loopback network: two that were started at the same moment got the same addresses.

--- a/loomstand/testing/simulation/http_log.py
+++ b/loomstand/testing/simulation/http_log.py
@@ -110,12 +110,21 @@
         Raises:
             ConnectionBrokenError: The connection ended before, or the bytes aren't a message.
         """
+        start, fields = await self.read_head()
+        return Message(start, fields, await self.read_body(fields))
+
+    async def read_head(self) -> tuple[bytes, Fields]:
+        """Reads the start line and the fields of the next message; see `read_message`."""
         start, fields = await self.read_line(), Fields()
         while line := await self.read_line():
             name, colon, value = line.decode("latin-1").partition(":")
             if not colon:
                 raise ConnectionBrokenError("not an HTTP message")
             fields[name.strip().lower()] = value.strip()
+        return start, fields
+
+    async def read_body(self, fields: Fields) -> bytes:
+        """Reads the body that follows a head with these fields; see `read_message`."""
         body = b""
         if fields.get("transfer-encoding") == "chunked":
             while size := int(await self.read_line(), 16):
@@ -124,7 +133,7 @@
             await self.read_line()
         elif "content-length" in fields:
             body = await self.read_exactly(int(fields["content-length"]))
-        return Message(start, fields, body)
+        return body
 
 
 @dataclass(slots=True)
--- a/loomstand/testing/simulation/workload.py
+++ b/loomstand/testing/simulation/workload.py
@@ -27,6 +27,7 @@
 from loomstand.testing.simulation.streams import Address, StreamListener, Streams, TcpStack
 
 STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9]{2}) [^\r\n]*")
+LEAVE_RETRY_SECONDS = 0.05
 FINAL_STATUSES = (400, 401, 404, 413, 431)  # not retried
 
 
@@ -142,6 +143,14 @@
         assert self.last_acknowledgement is not None
         return self.last_acknowledgement
 
+    async def leave_until_acknowledged(self) -> float:
+        """Repeats the call to leave at the next core machine; returns when it was acknowledged."""
+        while not await self.call_registry(f"instances.leave&of={self.id}", b""):
+            self.core_index += 1
+            await asyncio.sleep(LEAVE_RETRY_SECONDS)
+        assert self.last_acknowledgement is not None
+        return self.last_acknowledgement[0]
+
     async def leave(self) -> None:
         """Deregisters the instance and ends the process."""
         await self.call_registry(f"instances.leave&of={self.id}", b"")
@@ -154,14 +163,17 @@
         self.connections.add(connection)
         try:
             while not connection.closed_reason:
-                message = await connection.read_message()
-                await self.handle_request(connection, message)
+                await self.serve_request(connection)
         except ConnectionBrokenError:
             pass
         finally:
             self.connections.discard(connection)
         connection.transport.close()
 
+    async def serve_request(self, connection: ServerHttpConnection) -> None:
+        """Reads and handles the next request of a connection."""
+        await self.handle_request(connection, await connection.read_message())
+
     async def handle_request(self, connection: ServerHttpConnection, message: Message) -> None:
         """Rejects a request, or runs it and answers; the fault may change either."""
         loop, fields = asyncio.get_running_loop(), message.fields
--- a/loomstand/testing/soak/__main__.py
+++ b/loomstand/testing/soak/__main__.py
@@ -8,11 +8,9 @@
 import time
 from pathlib import Path
 
+from loomstand.testing.soak.loopback import claim_network
 from loomstand.testing.soak.run import SoakOptions, run_seed
 
-# Number of values of the second address octet; concurrent runs use different ones.
-LOOPBACK_NETWORKS = 200
-
 
 def seeds(text: str) -> range:
     """Parses a range of seeds such as `1-50`, or a single seed such as `7`."""
@@ -38,10 +36,10 @@
     failed = []
     for seed in arguments.seeds:
         began = time.monotonic()
-        network = 20 + (os.getpid() + seed) % LOOPBACK_NETWORKS
         folder = arguments.keep / str(seed) if arguments.keep else None
-        options = SoakOptions(seed, arguments.seconds, arguments.proxies, network, folder)
-        report = run_seed(options)
+        with claim_network(os.getpid() + seed) as network:
+            options = SoakOptions(seed, arguments.seconds, arguments.proxies, network, folder)
+            report = run_seed(options)
         print(f"{report.summary()}; {time.monotonic() - began:.0f} s", flush=True)
         for fault in report.faults:
             print(f"  {fault}", flush=True)
--- a/loomstand/testing/soak/checks.py
+++ b/loomstand/testing/soak/checks.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from loomstand.testing.simulation.http_log import ClientRequest, Reply, RequestLog, ServerArrival
-from loomstand.testing.soak.timing import GRACE_SECONDS
+from loomstand.testing.soak.timing import GRACE_SECONDS, START_SECONDS
 
 # Added to each limit: the limits of RULES.md are for machines without load, but all processes of a
 # run share one machine.
@@ -38,6 +38,24 @@
     acknowledged_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class CoreKill:
+    """A kill of all processes of the core.
+
+    Attributes:
+        at: Its time, in seconds by the event loop's clock.
+        restarted_at: Time at which the last of the processes was started again.
+    """
+
+    at: float
+    restarted_at: float
+
+    def is_unsettled(self, moment: float) -> bool:
+        """Returns whether proxies may be out of touch with the core at a moment."""
+        in_touch_at = self.restarted_at + START_SECONDS + 2 * CONTACT_SECONDS
+        return self.at <= moment < in_touch_at
+
+
 def lost_requests(request_log: RequestLog, was_disturbed: WasDisturbed) -> list[str]:
     """LOST: a proxy that was running or stopping in order closed a connection without an answer.
 
@@ -71,9 +89,19 @@
 
 
 def late_arrivals(
-    request_log: RequestLog, drains: list[Drain], was_disturbed: WasDisturbed
+    request_log: RequestLog,
+    drains: list[Drain],
+    was_disturbed: WasDisturbed,
+    core_kill: CoreKill | None = None,
 ) -> list[str]:
-    """DRAIN: a request reached a server long after its draining was acknowledged."""
+    """DRAIN: a request reached a server long after its draining or leaving was acknowledged.
+
+    Args:
+        request_log: Log of the requests.
+        drains: The departures.
+        was_disturbed: Whether a proxy was disturbed.
+        core_kill: A kill of all core machines; None if there was none.
+    """
     acknowledged_at = {drain.server: drain.acknowledged_at for drain in drains}
     late = []
     for run in request_log.arrivals:
@@ -81,6 +109,8 @@
         front = request_log.requests[run.id].front[0] if run.id in request_log.requests else ""
         if since <= DRAIN_SECONDS + LOAD_SLACK_SECONDS:
             continue
+        if core_kill is not None and core_kill.is_unsettled(run.at):
+            continue
         if not was_disturbed(front, run.at - CONTACT_SECONDS, run.at, True):
             late.append(
                 f"DRAIN: {run.id} came {since:.2f} s after {run.server} announced its draining"
--- a/loomstand/testing/soak/cluster.py
+++ b/loomstand/testing/soak/cluster.py
@@ -153,6 +153,11 @@
         self.acknowledged_version = max(version, self.acknowledged_version)
         return True
 
+    async def kill_core(self) -> None:
+        """Kills all processes of the core at the same moment and starts them again."""
+        core = [process for process in self.processes.values() if process.ip in self.core_ips]
+        await asyncio.gather(*(process.kill() for process in core))
+
     async def stop(self) -> None:
         """Stops every process and waits for it."""
         for server in self.servers.values():
--- a/loomstand/testing/soak/run.py
+++ b/loomstand/testing/soak/run.py
@@ -17,6 +17,7 @@
 from loomstand.testing.simulation.http_log import Reply
 from loomstand.testing.soak.checks import (
     DRAIN_SECONDS,
+    CoreKill,
     Drain,
     abandoned_runs,
     late_arrivals,
@@ -24,6 +25,7 @@
     needless_overdue,
 )
 from loomstand.testing.soak.cluster import FRONT_PORT, SoakCluster
+from loomstand.testing.soak.loopback import LONG_BODY_BYTES
 from loomstand.testing.soak.schedule import Action, Step, draw_schedule
 from loomstand.testing.soak.timing import GRACE_SECONDS
 
@@ -34,6 +36,9 @@
 CLIENTS = 24  # concurrent, each with its own connections
 THINK_SECONDS = (0.0, 0.15)  # range of a client's pause between two requests
 REUSED_CONNECTION_SHARE = 0.7  # of the requests, if there is an open connection
+SHORT_BODY = b"body " * 20
+LONG_BODY = bytes(LONG_BODY_BYTES)
+MAX_LONG_REQUESTS = 4  # at a time
 TIMEOUT_SECONDS = 5.0  # of a request; clients send it with the request
 PATIENCE_SECONDS = (0.01, 0.3)  # an impatient client disconnects after a time in this range
 IMPATIENT_SHARE = 0.5  # of the requests, during the action HURRY
@@ -107,6 +112,8 @@
         self.rng = Random(options.seed ^ 0x5EED)
         self.drains: list[Drain] = []
         self.impatient_until = -inf
+        self.core_kill: CoreKill | None = None
+        self.long_requests = 0  # those in progress
         self.is_over = False
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -170,11 +177,14 @@
                 await self.change()
             case Action.DRAIN:
                 await self.drain(step.target)
+            case Action.LEAVE:
+                await self.leave(step.target, step.seconds)
+            case Action.KILL_CORE:
+                await self.kill_core()
             case Action.SLOW:
-                server = self.cluster.servers[step.target]
-                server.fault = "slow"
-                await asyncio.sleep(step.seconds)
-                server.fault = ""
+                await self.make_faulty(step.target, "slow", step.seconds)
+            case Action.EARLY:
+                await self.make_faulty(step.target, "early", step.seconds)
             case _:
                 until = asyncio.get_running_loop().time() + step.seconds
                 self.impatient_until = max(self.impatient_until, until)
@@ -194,11 +204,35 @@
     async def drain(self, name: str) -> None:
         """Drains a server, which then returns as a new instance."""
         server = self.cluster.servers[name]
-        if server.state == "draining":
+        if server.is_departing:
             return
         old_id, acknowledged_at = await server.drain_and_return(DRAIN_SECONDS + DRAIN_SLACK_SECONDS)
         self.drains.append(Drain(old_id, acknowledged_at))
 
+    async def leave(self, name: str, serve_on_seconds: float) -> None:
+        """Lets a server leave without draining; it then returns as a new instance."""
+        server = self.cluster.servers[name]
+        if server.is_departing:
+            return
+        await server.leave_and_return(
+            serve_on_seconds, lambda old_id, at: self.drains.append(Drain(old_id, at))
+        )
+
+    async def kill_core(self) -> None:
+        """Kills the whole core; it starts again at once."""
+        now = asyncio.get_running_loop().time
+        killed_at = now()
+        self.core_kill = CoreKill(killed_at, inf)
+        await self.cluster.kill_core()
+        self.core_kill = CoreKill(killed_at, now())
+
+    async def make_faulty(self, name: str, fault: str, seconds: float) -> None:
+        """Gives a server a fault for some time."""
+        server = self.cluster.servers[name]
+        server.fault = fault
+        await asyncio.sleep(seconds)
+        server.fault = ""
+
     # clients
 
     async def run_client(self) -> None:
@@ -219,19 +253,27 @@
                 front = rng.choice(self.cluster.routed_proxies)
             is_idempotent = rng.random() < IDEMPOTENT_SHARE
             method, path = ("GET", "/a/x") if is_idempotent else ("POST", "/once/x")
-            body = b"" if is_idempotent else b"body " * 20
+            is_long = not is_idempotent and self.may_send_long_body()
+            body = LONG_BODY if is_long else b"" if is_idempotent else SHORT_BODY
             request = client.new_request(
                 method, "town.example", path, "key-of-ann", body, is_idempotent
             )
             may_be_impatient = asyncio.get_running_loop().time() < self.impatient_until
             is_impatient = may_be_impatient and rng.random() < IMPATIENT_SHARE
             patience = rng.uniform(*PATIENCE_SECONDS) if is_impatient else inf
+            self.long_requests += is_long
             reply = await client.send_once(request, front, TIMEOUT_SECONDS, patience)
+            self.long_requests -= is_long
             self.report.endings[ending(reply)] += 1
             await asyncio.sleep(rng.uniform(*THINK_SECONDS))
         for connection in client.idle.values():
             connection.transport.close()
 
+    def may_send_long_body(self) -> bool:
+        """Returns whether the next request may be long: a few at a time, if a server is early."""
+        is_any_early = any(server.fault == "early" for server in self.cluster.servers.values())
+        return is_any_early and self.long_requests < MAX_LONG_REQUESTS
+
     # checks
 
     def measure(self) -> None:
@@ -299,7 +341,7 @@
         for checked in (
             lost_requests(request_log, self.was_disturbed),
             abandoned_runs(request_log, self.was_disturbed),
-            late_arrivals(request_log, self.drains, self.was_disturbed),
+            late_arrivals(request_log, self.drains, self.was_disturbed, self.core_kill),
         ):
             faults.extend(checked)
         for process in self.cluster.processes.values():
--- a/loomstand/testing/soak/schedule.py
+++ b/loomstand/testing/soak/schedule.py
@@ -20,6 +20,13 @@
 MAX_FREEZE_SECONDS = 1.5
 HANGUP_FIRST_SHARE = 0.3  # of the terminations: a SIGHUP precedes them by up to 0.2 s
 TERMINATED_TWICE_SHARE = 0.2  # of the terminations: a second SIGTERM follows within 1 s
+CORE_KILL_SHARE = 0.5  # of the runs
+LEAVE_SHARE = 0.7  # of the runs
+EARLY_SHARE = 0.5  # of the runs
+# From a kill of the core to a server's first call to leave; it repeats the call until the core is
+# back.
+LEAVE_OFFSET_SECONDS = (-0.2, 1.0)
+SERVE_ON_SECONDS = (3.0, 12.0)  # after the acknowledgement of a leave
 
 
 class Action(Enum):
@@ -32,6 +39,9 @@
     FREEZE = auto()  # SIGSTOP, then SIGCONT after `seconds`
     CHANGE = auto()  # the operator sends a changed configuration
     DRAIN = auto()  # a server drains, leaves and returns
+    LEAVE = auto()  # a server leaves without draining, serves on for `seconds` and returns
+    KILL_CORE = auto()  # SIGKILL to all processes of the core, then restart
+    EARLY = auto()  # a server begins long requests early and loses answers for `seconds`
     SLOW = auto()  # a server is slow for `seconds`
     HURRY = auto()  # clients disconnect early for `seconds`
 
@@ -42,7 +52,8 @@
 
     Attributes:
         at: Seconds from the start of traffic.
-        target: Name of a process or server; empty for the operator and the clients.
+        target: Name of a process or server; empty for the operator, the clients and the whole
+            core.
         action: The kind of disturbance.
         seconds: Its duration; 0 for actions without one.
     """
@@ -84,9 +95,19 @@
         _impatient_clients,
         _freezes,
     ]
-    steps = list(_core(rng, shape))
+    core_steps = list(_core(rng, shape))
+    steps = []
     for draw in rng.choices(series, k=rng.randint(MIN_SERIES, MAX_SERIES)):
         steps += draw(rng, shape)
+    # drawn apart, so that all other steps of a seed are those of earlier releases
+    added_rng = Random(f"{seed} core kill, leaves and early servers")
+    if added_rng.random() < CORE_KILL_SHARE:
+        core_steps = _with_core_kill(added_rng, core_steps)
+    steps += core_steps
+    if added_rng.random() < LEAVE_SHARE:
+        steps += _leaves(added_rng, shape, core_steps)
+    if added_rng.random() < EARLY_SHARE:
+        steps += _early_servers(added_rng, shape)
     return sorted(
         (step for step in steps if step.at < shape.seconds),
         key=lambda step: (step.at, step.target, step.action.name),
@@ -179,3 +200,36 @@
             Action.KILL: START_SECONDS,
         }
         at += outage_seconds.get(action, seconds) + CATCH_UP_SECONDS + rng.uniform(0.0, 2.0)
+
+
+def _with_core_kill(rng: Random, core_steps: list[Step]) -> list[Step]:
+    """Replaces one disturbance of a core machine that ends in a restart by a kill of all of them.
+
+    The gap that follows such a disturbance suffices for the core to catch up.
+    """
+    moments = sorted({step.at for step in core_steps if step.action is not Action.FREEZE})
+    if not moments:
+        return core_steps
+    moment = rng.choice(moments)
+    others = [step for step in core_steps if step.at != moment]
+    return [*others, Step(moment, "", Action.KILL_CORE)]
+
+
+def _leaves(rng: Random, shape: ClusterShape, core_steps: list[Step]) -> Iterator[Step]:
+    """Servers that leave at the kill of the core, if there is one."""
+    targets = rng.sample(shape.servers, max(1, len(shape.servers) // 4))
+    killed_at = [step.at for step in core_steps if step.action is Action.KILL_CORE]
+    for at, name in zip(_moments(rng, shape, len(targets)), targets, strict=True):
+        seconds = rng.uniform(*SERVE_ON_SECONDS)
+        if killed_at:
+            at_kill = killed_at[0] + rng.uniform(*LEAVE_OFFSET_SECONDS)
+            yield Step(max(0.0, at_kill), name, Action.LEAVE, seconds)
+        else:
+            yield Step(at, name, Action.LEAVE, seconds)
+
+
+def _early_servers(rng: Random, shape: ClusterShape) -> Iterator[Step]:
+    at = rng.uniform(0.0, 0.6 * shape.seconds)
+    seconds = rng.uniform(2.0, 4.0)
+    for name in rng.sample(shape.servers, len(shape.servers) // 2):
+        yield Step(at, name, Action.EARLY, seconds)
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -19,7 +19,6 @@
 DRAIN_SECONDS = 2.5  # the operators' bound from an acknowledged departure to the last request
 CONTACT_SECONDS = 3.0  # a proxy is in touch so long after the last fault
 DOWN_SECONDS = 0.5
-LEAVE_RETRY_SECONDS = 0.05
 SECONDS_AFTER_DEPARTURE = 12.0
 
 
@@ -31,14 +30,6 @@
     started.close()
 
 
-async def leave_until_acknowledged(server: Server) -> float:
-    """Repeats the call at the next registry until it is acknowledged; returns the time of that."""
-    while not await server.call_registry(f"instances.leave&of={server.id}", b""):
-        server.core_index += 1
-        await asyncio.sleep(LEAVE_RETRY_SECONDS)
-    return server.last_acknowledgement[0]
-
-
 def kill_core(cluster: Cluster, with_stores: bool = True) -> None:
     """Kills all registries and, unless told otherwise, all stores; disks are kept."""
     for ip in cluster.core_ips:
@@ -106,7 +97,7 @@
     async def leave_during_restart() -> float:
         kill_core(cluster, with_stores)
         server.heartbeats.cancel()
-        leave = asyncio.ensure_future(leave_until_acknowledged(server))
+        leave = asyncio.ensure_future(server.leave_until_acknowledged())
         await asyncio.sleep(DOWN_SECONDS)
         await start_core(cluster, interval_seconds)
         return await leave
@@ -134,8 +125,8 @@
         server.heartbeats.cancel()
         for other in cluster.servers["beta"][:other_departures]:
             other.heartbeats.cancel()
-            await leave_until_acknowledged(other)
-        acknowledged_at = await leave_until_acknowledged(server)
+            await other.leave_until_acknowledged()
+        acknowledged_at = await server.leave_until_acknowledged()
         await asyncio.sleep(delay_seconds)
         kill_core(cluster)
         await asyncio.sleep(DOWN_SECONDS)
@@ -157,7 +148,7 @@
     async def leave_between_kills() -> float:
         server.heartbeats.cancel()
         kill_core(cluster)
-        leave = asyncio.ensure_future(leave_until_acknowledged(server))
+        leave = asyncio.ensure_future(server.leave_until_acknowledged())
         await asyncio.sleep(DOWN_SECONDS)
         await start_core(cluster)
         acknowledged_at = await leave
@@ -184,7 +175,7 @@
         cluster.network.partition([isolated], cluster.core_ips)
         await asyncio.sleep(0.3)
         server.heartbeats.cancel()
-        acknowledged_at = await leave_until_acknowledged(server)
+        acknowledged_at = await server.leave_until_acknowledged()
         kill_core(cluster)
         await asyncio.sleep(DOWN_SECONDS)
         await start_core(cluster)
@@ -207,7 +198,7 @@
 
     async def leave_and_kill() -> float:
         server.heartbeats.cancel()
-        acknowledged_at = await leave_until_acknowledged(server)
+        acknowledged_at = await server.leave_until_acknowledged()
         kill_core(cluster)
         cluster.proxies[restarted].kill()
         await asyncio.sleep(DOWN_SECONDS)
--- a/tests/registry/test_drawn_departures.py
+++ b/tests/registry/test_drawn_departures.py
@@ -17,7 +17,7 @@
 
 from loomstand.testing.simulation.cluster import Cluster
 from loomstand.testing.simulation.workload import Server
-from tests.registry.test_departures import kill_core, leave_until_acknowledged, start_core
+from tests.registry.test_departures import kill_core, start_core
 
 DRAIN_SECONDS = 2.5  # the operators' bound from an acknowledged departure to the last request
 CONTACT_SECONDS = 3.0  # a proxy is in touch so long after the last kill or start in the core
@@ -88,7 +88,7 @@
         await asyncio.sleep(self.rng.uniform(0.0, 2.5))
         if self.rng.random() < 0.6:
             server.heartbeats.cancel()
-            self.acknowledged[server.id] = await leave_until_acknowledged(server)
+            self.acknowledged[server.id] = await server.leave_until_acknowledged()
             if self.heartbeat_rng.random() < 0.5:
                 await asyncio.sleep(self.heartbeat_rng.uniform(*LATE_HEARTBEAT_SECONDS))
                 server.sequence -= len(server.cores)  # older than the last one before the leave
@@ -98,7 +98,7 @@
         self.acknowledged[server.id] = at
         await asyncio.sleep(self.rng.uniform(DRAIN_SECONDS, 4.0))
         server.heartbeats.cancel()
-        await leave_until_acknowledged(server)
+        await server.leave_until_acknowledged()
 
     async def fail(self, kinds: list[str]) -> None:
         """Plays the faults one after the other, each at a drawn moment or at a departure."""
--- a/tests/testing/soak/test_checks.py
+++ b/tests/testing/soak/test_checks.py
@@ -6,6 +6,7 @@
 
 from loomstand.testing.simulation.http_log import ClientRequest, Reply, RequestLog, ServerArrival
 from loomstand.testing.soak.checks import (
+    CoreKill,
     Drain,
     abandoned_runs,
     late_arrivals,
@@ -78,6 +79,24 @@
     assert late_arrivals(log, [Drain("i-2", 0.0)], undisturbed) == []
 
 
+@pytest.mark.parametrize(
+    ("restarted_at", "late"),
+    [(3.0, 1), (4.0, 0), (10.5, 0)],  # the request came at 10.1 s; 7 s are allowed
+)
+def test_an_arrival_is_not_late_until_proxies_are_in_touch_after_a_kill_of_the_core(
+    restarted_at, late
+):
+    log = build_log(Reply(200, at=10.2), ran=True)
+    core_kill = CoreKill(2.0, restarted_at)
+    assert len(late_arrivals(log, [Drain("i-1", 2.5)], undisturbed, core_kill)) == late
+
+
+def test_an_arrival_before_a_kill_of_the_core_is_late():
+    log = build_log(Reply(200, at=10.2), ran=True)
+    core_kill = CoreKill(10.15, 11.0)
+    assert len(late_arrivals(log, [Drain("i-1", 2.5)], undisturbed, core_kill)) == 1
+
+
 @pytest.mark.parametrize(("ended", "needless"), [(0.0, 0), (15.5, 0), (12.0, 1)])
 def test_a_proxy_waits_beyond_its_grace_period_only_for_a_server_at_work(ended, needless):
     log = build_log(Reply(0, "closed", at=16.0), ran=True, ended=ended)
--- a/tests/testing/soak/test_processes.py
+++ b/tests/testing/soak/test_processes.py
@@ -6,6 +6,7 @@
 import signal
 from pathlib import Path
 
+from loomstand.testing.soak.loopback import claim_network
 from loomstand.testing.soak.processes import Disturbance, ProgramProcess
 
 
@@ -35,3 +36,11 @@
         return process.process.signals  # type: ignore[union-attr]
 
     assert asyncio.run(run()) == [signal.SIGSTOP, signal.SIGCONT]
+
+
+def test_concurrent_runs_use_different_networks():
+    """Two runs that were started at the same moment got the same addresses and failed all over."""
+    with claim_network(7) as first, claim_network(7) as second, claim_network(8) as third:
+        assert len({first, second, third}) == 3
+    with claim_network(7) as again:
+        assert again == first
--- a/tests/testing/soak/test_schedule.py
+++ b/tests/testing/soak/test_schedule.py
@@ -12,7 +12,7 @@
     Step,
     draw_schedule,
 )
-from loomstand.testing.soak.timing import CATCH_UP_SECONDS
+from loomstand.testing.soak.timing import CATCH_UP_SECONDS, START_SECONDS
 
 MACHINES = (("store-1", "registry-1"), ("store-2", "registry-2"), ("store-3", "registry-3"))
 SHAPE = ClusterShape(("proxy-1", "proxy-2", "proxy-3"), MACHINES, ("alpha-1", "alpha-2"), 12.0)
@@ -52,6 +52,33 @@
         assert same_moment or next_at >= at + seconds + CATCH_UP_SECONDS
 
 
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_core_machines_have_caught_up_before_and_after_a_kill_of_all(seed):
+    steps = draw_schedule(seed, SHAPE)
+    core_kills = [step.at for step in steps if step.action is Action.KILL_CORE]
+    assert len(core_kills) <= 1
+    for at in core_kills:
+        for machine_at, _, seconds in core_steps(steps):
+            if machine_at < at:
+                assert machine_at + seconds + CATCH_UP_SECONDS <= at
+            else:
+                assert at + START_SECONDS + CATCH_UP_SECONDS <= machine_at
+
+
+def test_servers_leave_around_a_kill_of_the_core():
+    offsets = [
+        leave.at - core_kill.at
+        for seed in range(1, 51)
+        for steps in [draw_schedule(seed, SHAPE)]
+        for core_kill in steps
+        if core_kill.action is Action.KILL_CORE
+        for leave in steps
+        if leave.action is Action.LEAVE
+    ]
+    assert len(offsets) > 10
+    assert all(-0.2 <= offset <= 1.0 for offset in offsets)
+
+
 def test_all_kinds_of_disturbances_are_drawn_and_overlap():
     drawn: set[Action] = set()
     overlapping = 0
