Soak: count a proxy's descriptors once its idle connections may be closed

Cause, traced: no proxy was at rest. The count was taken right after the last requests. After quick resets of early servers (within 30 ms, as of a stale connection) a proxy sends non-idempotent requests on new connections for 8 s, which stay open for servers' 10 s of keep-alive. The four proxies had 123, 81, 23 and 160 descriptors at the end, 45, 35, 18 and 58 after 5 s, and 11 each after 11 s.

Change: where the bound of 150 is passed the check waits for 11 s and counts again. The bound is as it was.

--- a/loomstand/testing/soak/run.py
+++ b/loomstand/testing/soak/run.py
@@ -47,7 +47,9 @@
 CALM_SECONDS = 8.0
 FINAL_REQUESTS = 100
 MIN_SERVED_SHARE = 0.99  # of the final requests
-MAX_IDLE_DESCRIPTORS = 150  # file descriptors of a proxy without clients
+MAX_IDLE_DESCRIPTORS = 150  # file descriptors of a proxy at rest
+# Servers keep idle connections for 10 s; proxies look for those once a second.
+REST_SECONDS = 11.0
 MEMORY_SHARE = 0.5  # of the machine's memory, for all processes together
 
 
@@ -320,15 +322,27 @@
             faults.append(f"RECOVER: {served:.2f} of the last requests were served")
         for connection in client.idle.values():
             connection.transport.close()
-        self.check_descriptors()
-
-    def check_descriptors(self) -> None:
-        """Checks that no proxy keeps many descriptors open after its clients have disconnected."""
-        for name, process in self.cluster.processes.items():
-            if name.startswith("proxy-") and process.is_running and process.process is not None:
-                count = psutil.Process(process.process.pid).num_fds()
-                if count > MAX_IDLE_DESCRIPTORS:
-                    self.report.faults.append(f"{name}: {count} descriptors at rest")
+        await self.check_descriptors()
+
+    async def check_descriptors(self) -> None:
+        """Checks that no proxy keeps many descriptors open at rest.
+
+        A proxy is at rest once its clients have disconnected and the connections to servers have
+        been idle for as long as servers keep them.
+        """
+        if self.proxies_with_many_descriptors():
+            await asyncio.sleep(REST_SECONDS)
+        for name, count in self.proxies_with_many_descriptors().items():
+            self.report.faults.append(f"{name}: {count} descriptors at rest")
+
+    def proxies_with_many_descriptors(self) -> dict[str, int]:
+        """Returns the number of descriptors of the running proxies that have too many for rest."""
+        counts = {
+            name: psutil.Process(process.process.pid).num_fds()
+            for name, process in self.cluster.processes.items()
+            if name.startswith("proxy-") and process.is_running and process.process is not None
+        }
+        return {name: count for name, count in counts.items() if count > MAX_IDLE_DESCRIPTORS}
 
     def check_all(self) -> None:
         """Runs the checks over the request log and the processes after all have exited."""
