Soak: say what an overdue proxy had used and which requests it owed

Nothing told a proxy without a processor from one that waits for answers.

Change: the fault names the processor time used in the grace period, the open connections, and each request that the proxy owed with where it had been. The check is as it was.

--- a/loomstand/testing/soak/checks.py
+++ b/loomstand/testing/soak/checks.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from loomstand.testing.simulation.http_log import ClientRequest, Reply, RequestLog, ServerArrival
+from loomstand.testing.soak.processes import Overdue
 from loomstand.testing.soak.timing import GRACE_SECONDS, START_SECONDS
 
 # Added to each limit: the limits of RULES.md are for machines without load, but all processes of a
@@ -118,7 +119,7 @@
     return late
 
 
-def needless_overdue(request_log: RequestLog, proxy_ip: str, overdue_at: list[float]) -> list[str]:
+def needless_overdue(request_log: RequestLog, proxy_ip: str, overdue: list[Overdue]) -> list[str]:
     """A proxy exceeded its grace period although it was not waiting for a server.
 
     It may wait for a server that still runs one of its requests in the last sixth of the period.
@@ -126,20 +127,40 @@
     Args:
         request_log: Log of the requests.
         proxy_ip: Address of the proxy.
-        overdue_at: Times at which it exceeded the period, in seconds by the event loop's clock.
+        overdue: Each time that it exceeded the period.
     """
     needless = []
-    for moment in overdue_at:
+    for case in overdue:
         server_works = any(
-            run.at < moment and (not run.ended or run.ended > moment - GRACE_SECONDS / 6)
+            run.at < case.at and (not run.ended or run.ended > case.at - GRACE_SECONDS / 6)
             for run in request_log.runs()
             if request_log.requests[run.id].front[0] == proxy_ip
         )
         if not server_works:
-            needless.append(f"{proxy_ip}: still running {GRACE_SECONDS:g} s after SIGTERM")
+            needless.append(
+                f"{proxy_ip}: still running {GRACE_SECONDS:g} s after SIGTERM, with"
+                f" {case.processor_seconds:.1f} s of processor time and {case.connections}"
+                f" connections; requests at it: {unanswered_at(request_log, proxy_ip, case.at)}"
+            )
     return needless
 
 
+def unanswered_at(request_log: RequestLog, proxy_ip: str, moment: float) -> str:
+    """Returns the requests that a proxy owed an answer at a moment, with where each has been."""
+    arrivals = {arrival.id: arrival for arrival in request_log.arrivals}
+    owed = []
+    for request in request_log.requests.values():
+        reply = request_log.replies.get(request.id)
+        if request.front[0] != proxy_ip or not request.sent <= moment:
+            continue
+        if reply is not None and reply.at < moment:
+            continue
+        arrival = arrivals.get(request.id)
+        seen = f"at {arrival.server} {arrival.at - moment:+.1f} s" if arrival else "at no server"
+        owed.append(f"{request.id} sent {request.sent - moment:+.1f} s, {seen}")
+    return ", ".join(owed) or "none"
+
+
 def runs_by_request(request_log: RequestLog) -> dict[str, ServerArrival]:
     """Returns the first run of each request that a server started."""
     runs: dict[str, ServerArrival] = {}
--- a/loomstand/testing/soak/processes.py
+++ b/loomstand/testing/soak/processes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import os
 import signal
@@ -15,6 +16,8 @@
 from math import inf
 from pathlib import Path
 
+import psutil
+
 from loomstand.rpc.start import SETTINGS_VARIABLE
 
 PR_SET_PDEATHSIG = 1
@@ -53,6 +56,21 @@
     is_planned: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """A process that had not exited at the end of its grace period.
+
+    Attributes:
+        at: In seconds by the event loop's clock.
+        processor_seconds: Processor time that it used in the grace period.
+        connections: Number of its established connections.
+    """
+
+    at: float
+    processor_seconds: float
+    connections: int
+
+
 @dataclass(slots=True)
 class ProgramProcess:
     """One program on one machine, across its restarts.
@@ -68,8 +86,7 @@
         process: The current process, or the last one.
         disturbances: What the run did to it, in order.
         faults: Its faults, such as a wrong exit status.
-        overdue_at: Times at which it exceeded its grace period and got SIGKILL, in seconds by the
-            event loop's clock.
+        overdue: Each time that it exceeded its grace period and got SIGKILL.
         is_busy: Whether a stop with a restart, or a freeze, is in progress.
         is_terminating: Whether it got SIGTERM and has not exited yet.
     """
@@ -83,7 +100,7 @@
     process: asyncio.subprocess.Process | None = None
     disturbances: list[Disturbance] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
-    overdue_at: list[float] = field(default_factory=list)
+    overdue: list[Overdue] = field(default_factory=list)
     is_busy: bool = False
     is_terminating: bool = False
 
@@ -175,13 +192,15 @@
         self.send(number)
         self.is_terminating = is_planned
         is_overdue = False
+        processor_seconds_before = self._processor_seconds()
         try:
             async with asyncio.timeout(None if grace_seconds == inf else grace_seconds):
                 await self.process.wait()
         except TimeoutError:
             is_overdue = True
             now = self._now()
-            self.overdue_at.append(now)
+            processor_seconds = self._processor_seconds() - processor_seconds_before
+            self.overdue.append(Overdue(now, processor_seconds, self._connection_count()))
             self.disturbances.insert(0, Disturbance(now, now, is_planned=False))
             self.send(signal.SIGKILL)
             await self.process.wait()
@@ -195,6 +214,22 @@
         self.is_busy = False
         self._record(began, is_planned)
 
+    def _processor_seconds(self) -> float:
+        """Returns the processor time that the process has used; 0 if it has exited."""
+        assert self.process is not None
+        with contextlib.suppress(psutil.Error):
+            times = psutil.Process(self.process.pid).cpu_times()
+            return times.user + times.system
+        return 0.0
+
+    def _connection_count(self) -> int:
+        """Returns the number of the process's established connections; 0 if it has exited."""
+        assert self.process is not None
+        with contextlib.suppress(psutil.Error):
+            connections = psutil.Process(self.process.pid).net_connections("tcp")
+            return sum(c.status == psutil.CONN_ESTABLISHED for c in connections)
+        return 0
+
     def _record(self, began: float, is_planned: bool) -> None:
         now = asyncio.get_running_loop().time()
         self.disturbances.append(Disturbance(began, now, is_planned))
--- a/loomstand/testing/soak/run.py
+++ b/loomstand/testing/soak/run.py
@@ -360,7 +360,7 @@
             faults.extend(checked)
         for process in self.cluster.processes.values():
             faults.extend(process.check_log())
-            faults.extend(needless_overdue(request_log, process.ip, process.overdue_at))
+            faults.extend(needless_overdue(request_log, process.ip, process.overdue))
 
     def was_disturbed(self, ip: str, since: float, until: float, planned_too: bool) -> bool:
         """See `checks.WasDisturbed`."""
--- a/tests/testing/soak/test_checks.py
+++ b/tests/testing/soak/test_checks.py
@@ -13,6 +13,9 @@
     lost_requests,
     needless_overdue,
 )
+from loomstand.testing.soak.processes import Overdue
+
+OVERDUE = Overdue(16.0, 0.5, 3)
 
 
 def undisturbed(ip: str, since: float, until: float, planned_too: bool) -> bool:
@@ -97,9 +100,18 @@
     assert len(late_arrivals(log, [Drain("i-1", 2.5)], undisturbed, core_kill)) == 1
 
 
+def test_a_needless_wait_names_the_requests_that_the_proxy_owed():
+    log = build_log(Reply(0, "closed", at=16.0), ran=False)
+    (line,) = needless_overdue(log, "10.2.0.1", [OVERDUE])
+    assert "0.5 s of processor time and 3 connections" in line
+    assert "r1 sent -6.0 s, at no server" in line
+    (line,) = needless_overdue(log, "10.2.0.2", [OVERDUE])
+    assert line.endswith("requests at it: none")
+
+
 @pytest.mark.parametrize(("ended", "needless"), [(0.0, 0), (15.5, 0), (12.0, 1)])
 def test_a_proxy_waits_beyond_its_grace_period_only_for_a_server_at_work(ended, needless):
     log = build_log(Reply(0, "closed", at=16.0), ran=True, ended=ended)
-    assert len(needless_overdue(log, "10.2.0.1", [16.0])) == needless
-    assert len(needless_overdue(log, "10.2.0.2", [16.0])) == 1
+    assert len(needless_overdue(log, "10.2.0.1", [OVERDUE])) == needless
+    assert len(needless_overdue(log, "10.2.0.2", [OVERDUE])) == 1
     assert needless_overdue(log, "10.2.0.1", []) == []
