Soak: replace a settings file as a whole, and report the last log line of an ended program

Cause: the fault named no reason; with the last log line added it was "self.node_name: missing". The soak test wrote settings in place; a program that was starting read the file between its truncation and its writing.

Change: the new file is written beside the old one and renamed over it.

Evidence: the new test failed before and passes.

--- a/loomstand/testing/soak/cluster.py
+++ b/loomstand/testing/soak/cluster.py
@@ -187,7 +187,10 @@
         path = self.folder / f"{name}.conf"
 
         def write_settings(is_first: bool) -> None:
-            path.write_text(self._settings(role, ip, is_first))
+            # a program that is starting never reads an incomplete file
+            new_path = path.with_suffix(".new")
+            new_path.write_text(self._settings(role, ip, is_first))
+            new_path.replace(path)
 
         module = f"loomstand.{role}"
         log_path = self.folder / f"{name}.log"
--- a/loomstand/testing/soak/processes.py
+++ b/loomstand/testing/soak/processes.py
@@ -238,7 +238,11 @@
         """Records a fault if the process has exited unexpectedly."""
         if not self.is_busy and not self.is_running:
             status = self.process.returncode if self.process is not None else "never started"
-            self.faults.append(f"{self.name}: ended by itself, exit status {status}")
+            lines = self.log_path.read_text(errors="replace").splitlines()
+            last_line = lines[-1] if lines else "nothing"
+            self.faults.append(
+                f"{self.name}: ended by itself, exit status {status}; logged last: {last_line}"
+            )
 
     def check_log(self) -> list[str]:
         """Returns the faults of all its processes, with the log lines that indicate faults."""
--- a/tests/testing/soak/test_processes.py
+++ b/tests/testing/soak/test_processes.py
@@ -6,6 +6,7 @@
 import signal
 from pathlib import Path
 
+from loomstand.testing.soak.cluster import SoakCluster
 from loomstand.testing.soak.loopback import claim_network
 from loomstand.testing.soak.processes import Disturbance, ProgramProcess
 
@@ -44,3 +45,13 @@
         assert len({first, second, third}) == 3
     with claim_network(7) as again:
         assert again == first
+
+
+def test_settings_are_replaced_as_a_whole(tmp_path):
+    """A program that started as its settings were written again read none, and exited."""
+    process = next(iter(SoakCluster(1, 1, 1, tmp_path).processes.values()))
+    process.write_settings(True)
+    with process.settings_path.open() as earlier:
+        process.write_settings(False)
+        assert "self.first_start=true" in earlier.read()
+    assert "self.first_start=false" in process.settings_path.read_text()
