Proxy: log the failures that it answers itself, attempts timed out, and lost clients

Change: requests_failed, once a second where there was any; connections that the proxy ended with a request pending are counted by their ending. No logic changes.

--- a/loomstand/limiter/client_connection.py
+++ b/loomstand/limiter/client_connection.py
@@ -5,7 +5,7 @@
 from math import inf
 
 from loomstand.limiter import event_loop, http_parser
-from loomstand.limiter.endings import Ending
+from loomstand.limiter.endings import PEER_ENDINGS, Ending
 from loomstand.limiter.event_loop import ListeningEndpoint, SocketChannel
 from loomstand.limiter.protocols import ClientHandle, ListenerOwner, TrackedRequest
 
@@ -159,6 +159,8 @@
 
     def ended(self, ending: Ending) -> None:
         """Removes the ended connection from those of the listener."""
+        if self.request is not None and ending not in PEER_ENDINGS:
+            self.listener.limiter.endings[f"client {ending.name.lower()} with request"] += 1
         self.listener.remove(self)
 
     @property
--- a/loomstand/limiter/endings.py
+++ b/loomstand/limiter/endings.py
@@ -25,7 +25,7 @@
     STOPPING = auto()  # this limiter is shutting down
 
 
-CONNECT_FAILURES = {Ending.REFUSED, Ending.SILENT_CONNECT}
+PEER_ENDINGS = {Ending.CLOSED, Ending.RESET}  # the peer, or the network, ended the connection
 # Endings caused by this limiter; with these, a request that did not run is not a failure of the
 # server.
 LOCAL_FAILURES = {Ending.NO_ROOM, Ending.STOPPING, Ending.CALLED_OFF}
--- a/loomstand/limiter/gateway_core.py
+++ b/loomstand/limiter/gateway_core.py
@@ -259,11 +259,7 @@
         """
         # As the time-out counts from the sending, delays of this event loop, past or expected,
         # shorten the remaining time rather than make the response late.
-        elapsed_seconds = (
-            self.loop.time()
-            - arrived_at
-            + min(self.arrival_clock.longest_iteration, timeout / TICKS_PER_SECOND / 2)
-        )
+        elapsed_seconds = self.loop.time() - arrived_at + self.expected_delay_seconds(timeout)
         request.deadline = (
             self.now() + timeout - int(max(0.0, elapsed_seconds) * TICKS_PER_SECOND) - 1
         )
@@ -271,6 +267,14 @@
         request.id, request.client, client.request = self.last_request_id, client, request
         self.requests[request.id] = request
 
+    def expected_delay_seconds(self, timeout: int) -> float:
+        """Returns by how much a deadline is moved forward, as this event loop may be late again.
+
+        Args:
+            timeout: Time-out of the request in ticks, of which it is at most half.
+        """
+        return min(self.arrival_clock.longest_iteration, timeout / TICKS_PER_SECOND / 2)
+
     def client_disconnected(self, request: RequestT) -> None:
         """Abandons a request whose client disconnected before the response."""
         request.client = None
--- a/loomstand/proxy/admission_adapter.py
+++ b/loomstand/proxy/admission_adapter.py
@@ -35,6 +35,7 @@
 from loomstand.proxy.counter_client import CounterClient
 from loomstand.proxy.credit_client import CreditClient
 from loomstand.proxy.endpoint_updates import EndpointUpdates
+from loomstand.proxy.failed_requests import FailedRequests
 from loomstand.proxy.policy_compiler import PUBLIC_PLAN, PolicyCompiler
 from loomstand.proxy.quota_credits import QuotaCredits
 from loomstand.proxy.request import ProxyAttempt, ProxyRequest
@@ -94,6 +95,7 @@
         configuration: The configuration in force.
         startup: Conditions for admitting requests during startup.
         queue: Requests that wait for these conditions.
+        failures: Counts of the failures that this proxy answered itself.
         credit_client: Requests credits; set by `Proxy`.
         counter_client: Increments counters; set by `Proxy`.
     """
@@ -133,6 +135,7 @@
             self.loop.time, self.configuration, self.endpoints, self.credits
         )
         self.queue = RequestQueue(self.loop, self.startup, self.admit)
+        self.failures = FailedRequests()
 
     def start_engine(self) -> DecisionEngine:
         """Returns a decision engine in its initial state."""
@@ -185,7 +188,11 @@
             self._answer_retry(request, UNAVAILABLE, f"{MEMORY_RETRY_SECONDS}")
             return
         request.service = self._choose_service(table, request)
-        self.track_request(request, client, request.timeout_ticks(), arrived_at)
+        timeout = request.timeout_ticks()
+        self.track_request(request, client, timeout, arrived_at)
+        self.failures.deadline_advanced(
+            int(self.expected_delay_seconds(timeout) * TICKS_PER_SECOND)
+        )
         self._submit_to_engine(request, plan, digest)
         if request.attempts:  # the engine admitted the request
             self.credits.consume(digest, now)
@@ -269,6 +276,8 @@
     ) -> None:
         """Answers the request if the attempt succeeded, and reports the outcome to the engine."""
         request = self.finish_attempt(attempt)
+        if outcome is Outcome.NO_RESPONSE and attempt.expires_at < request.deadline:
+            self.failures.attempts_timed_out += 1
         if outcome not in NOT_RUN_OUTCOMES:
             request.may_have_run = True
         response = request.server_response
@@ -331,7 +340,7 @@
         """Answers a request that may have run, with a server's response if one was received."""
         if request.server_response is not None:
             self.answer(request, *request.server_response)
-        elif self.now() >= request.deadline - TIMEOUT_MARGIN_TICKS:
-            self.answer(request, GATEWAY_TIMEOUT)
-        else:
-            self.answer(request, BAD_GATEWAY)
+            return
+        is_past_deadline = self.now() >= request.deadline - TIMEOUT_MARGIN_TICKS
+        self.failures.answered(is_past_deadline)
+        self.answer(request, GATEWAY_TIMEOUT if is_past_deadline else BAD_GATEWAY)
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -114,6 +114,9 @@
         self._mark_unlisted_silent()
         self.update_readiness()
         self.counter_client.replay.remove_expired(self.loop.time())
+        failures = self.failures.take_report()
+        if failures is not None:
+            self.log(failures)
 
     def _mark_unlisted_silent(self) -> None:
         """Takes servers out of use that no registry lists since all of them restarted.
