--- a/loomstand/testing/simulation/http_log.py
+++ b/loomstand/testing/simulation/http_log.py
@@ -150,6 +150,7 @@
     sent: float = 0.0  # time at which it was sent
     front: Address = ("", 0)  # address of the proxy that it was sent to
     left_at: float = inf  # time at which the client closed its connection without an answer
+    expires_at: float = inf  # time until which the client waits, as stated in the request
 
 
 @dataclass(slots=True)
@@ -162,6 +163,11 @@
     body: bytes = b""
     at: float = 0.0
 
+    @property
+    def is_own_failure(self) -> bool:
+        """Whether it is a failure that no server sent."""
+        return self.status >= 500 and "loomstand-response-stamp" not in self.fields
+
 
 @dataclass(slots=True)
 class ServerArrival:
@@ -174,6 +180,7 @@
     tenant: str
     ran: bool
     ended: float = 0.0  # time at which the server stopped work on it
+    was_cut: bool = False  # whether its connection ended while the server worked on it
 
 
 @dataclass(slots=True)
@@ -195,6 +202,21 @@
         """Returns the runs that lasted longer than `seconds` after their client had left."""
         return [run for run in self.runs() if run.ended > self.requests[run.id].left_at + seconds]
 
+    def given_up(self, slack_seconds: float) -> list[tuple[ClientRequest, Reply]]:
+        """Returns the requests that the proxy gave up although a server was at work on them.
+
+        The proxy closed the connection to the server and answered with a failure of its own, more
+        than `slack_seconds` before the client's deadline (rule LOST).
+        """
+        cut = {run.id for run in self.runs() if run.was_cut}
+        return [
+            (self.requests[id_], reply)
+            for id_, reply in self.replies.items()
+            if id_ in cut
+            and reply.is_own_failure
+            and reply.at < self.requests[id_].expires_at - slack_seconds
+        ]
+
     def record_arrival(self, run: ServerArrival, message: Message) -> None:
         """Records an arrival at a server and compares it with the sent request (rule UNASKED)."""
         self.arrivals.append(run)
--- a/loomstand/testing/simulation/workload.py
+++ b/loomstand/testing/simulation/workload.py
@@ -213,6 +213,7 @@
                 self.slow_seconds if fault == "slow" else 0.0
             )
             if await connection.closed_within(max(0.0, min(run_seconds, deadline - loop.time()))):
+                run.was_cut = True
                 return  # the proxy has closed the connection
         finally:
             self.busy -= 1
@@ -368,6 +369,7 @@
         loop = asyncio.get_running_loop()
         connection, reply = self.idle.pop(front, None), Reply(0, "silent")
         request.sent, request.front = loop.time(), front
+        request.expires_at = request.sent + within
         if connection is not None and connection.buffer:
             self.request_log.violations.append(
                 f"{request.id}: {bytes(connection.buffer[:60])!r} on an idle connection"
