Proxy: keep an attempt that timed out until its request is answered

Cause: the decision engine lets an attempt of an idempotent request time out early, for a retry. A process that has just started has one retry in its budget and expects answers within three quarters of the latency target, and the seven seconds after a SIGTERM hold the start of the next process. Class: a time-out decided before it is known whether what it is for can be done. Change: the engine still hears of the time-out and may retry, but the attempt stays open until the request has its answer or its deadline passes; the first answer counts, the others are cancelled. Servers get the request's remaining time. The stand-alone limiter is as before. Why it works: no failure of the proxy's own is sent while a server may still answer.

--- a/loomstand/limiter/gateway_core.py
+++ b/loomstand/limiter/gateway_core.py
@@ -372,11 +372,23 @@
         ):
             self.loop.call_soon(self.attempt_ended, attempt, Outcome.NOT_SENT)
             return
-        attempt.timer = self.loop.call_later(
-            (expires_at - now) / TICKS_PER_SECOND, self.pool.give_up, attempt, Ending.EXPIRED
-        )
+        self.set_attempt_timer(attempt, expires_at, self.attempt_timed_out)
         self.pool.send(attempt)
 
+    def set_attempt_timer(
+        self,
+        attempt: Attempt[RequestT],
+        due_at: int,
+        handler: Callable[[Attempt[RequestT]], None],
+    ) -> None:
+        """Has `handler` called at `due_at`, in ticks, unless the attempt ends before."""
+        seconds = max(0, due_at - self.now()) / TICKS_PER_SECOND
+        attempt.timer = self.loop.call_later(seconds, handler, attempt)
+
+    def attempt_timed_out(self, attempt: Attempt[RequestT]) -> None:
+        """Ends an attempt that has no response at its time-out."""
+        self.pool.give_up(attempt, Ending.EXPIRED)
+
     def attempt_limit(self, request: RequestT) -> int:
         """Returns the maximum number of attempts of a request."""
         raise NotImplementedError
--- a/loomstand/limiter/protocols.py
+++ b/loomstand/limiter/protocols.py
@@ -117,6 +117,7 @@
     """A connection to a server, as used by an attempt; see `upstream.ServerConnection`."""
 
     attempt: Any
+    may_have_run: bool
     channel: Any  # the connection's `event_loop.SocketChannel`
 
     def write(self) -> None: ...
--- a/loomstand/limiter/request.py
+++ b/loomstand/limiter/request.py
@@ -196,9 +196,20 @@
         expires_at: Time at which it expires, in ticks of the shared clock.
         connection: The connection that carries it; None before and after.
         timer: Timer of its expiry.
+        is_overdue: Whether it has expired for the decision engine, while its server may still
+            answer.
     """
 
-    __slots__ = ("connection", "endpoint_id", "expires_at", "number", "request", "sent_at", "timer")
+    __slots__ = (
+        "connection",
+        "endpoint_id",
+        "expires_at",
+        "is_overdue",
+        "number",
+        "request",
+        "sent_at",
+        "timer",
+    )
 
     def __init__(
         self, request: RequestT, number: int, endpoint_id: int, sent_at: int, expires_at: int
@@ -212,6 +223,12 @@
         )
         self.connection: AttemptConnection | None = None
         self.timer: TimerHandle | None = None
+        self.is_overdue = False
+
+    @property
+    def server_deadline(self) -> int:
+        """Time until which the server may work on it, in ticks of the shared clock."""
+        return self.expires_at
 
     def raw(self, timeout_ms: int) -> bytes:
         """Returns the bytes for the server; `timeout_ms` is the response time-out in ms."""
--- a/loomstand/limiter/upstream.py
+++ b/loomstand/limiter/upstream.py
@@ -75,7 +75,7 @@
     def write(self) -> None:
         """Sends the attempt's request with its remaining time."""
         limiter, attempt = self.pool.limiter, self.attempt
-        remaining_ms = max(1, (attempt.expires_at - limiter.now()) // TICKS_PER_MILLISECOND)
+        remaining_ms = max(1, (attempt.server_deadline - limiter.now()) // TICKS_PER_MILLISECOND)
         self.sent = self.channel.send(attempt.raw(remaining_ms))
         if not self.sent:
             limiter.loop.call_soon(self.channel.stop, Ending.NO_ROOM)
@@ -235,17 +235,22 @@
         closed as well. The machine may be down: a failed connect proves that a request did not run,
         whereas a request written to an old connection may have run.
         """
-        connection, limiter = attempt.connection, self.limiter
+        connection = attempt.connection
         if connection is None or connection.attempt is not attempt:
             return
         if ending is Ending.EXPIRED and connection.sent:
-            elapsed_seconds = (limiter.now() - attempt.sent_at) / TICKS_PER_SECOND
-            sent_at = limiter.loop.time() - elapsed_seconds
-            idle = self.idle.get(attempt.endpoint_id, ())
-            for other in [other for other in idle if other.idle_at < sent_at]:
-                self.close(other, Ending.IDLE)
+            self.close_idle_since(attempt)
         connection.channel.stop(ending)
 
+    def close_idle_since(self, attempt: Attempt[RequestT]) -> None:
+        """Closes the connections to an attempt's server that have been idle since it was sent."""
+        limiter = self.limiter
+        elapsed_seconds = (limiter.now() - attempt.sent_at) / TICKS_PER_SECOND
+        sent_at = limiter.loop.time() - elapsed_seconds
+        idle = self.idle.get(attempt.endpoint_id, ())
+        for other in [other for other in idle if other.idle_at < sent_at]:
+            self.close(other, Ending.IDLE)
+
     def release(self, connection: ServerConnection[RequestT]) -> None:
         """Keeps a connection for the next attempt, after a complete response."""
         if connection.endpoint_id not in self.addresses:  # server removed during the attempt
--- a/loomstand/proxy/admission_adapter.py
+++ b/loomstand/proxy/admission_adapter.py
@@ -20,12 +20,13 @@
     Reject,
 )
 from loomstand.admission.decision_engine import DecisionEngine
-from loomstand.admission.events import EndpointsUpdated, RequestArrived
+from loomstand.admission.events import ClientDisconnected, EndpointsUpdated, RequestArrived
 from loomstand.admission.outcome import Outcome
 from loomstand.admission.ticks import TICKS_PER_SECOND
 from loomstand.config.routes import RouteTable
 from loomstand.config.settings import Settings
 from loomstand.limiter.client_connection import ClientListener
+from loomstand.limiter.endings import Ending
 from loomstand.limiter.event_loop import ArrivalClockSelector, Streams
 from loomstand.limiter.gateway_core import GatewayCore
 from loomstand.limiter.http_parser import RequestReceiver
@@ -276,14 +277,59 @@
     ) -> None:
         """Answers the request if the attempt succeeded, and reports the outcome to the engine."""
         request = self.finish_attempt(attempt)
-        if outcome is Outcome.NO_RESPONSE and attempt.expires_at < request.deadline:
-            self.failures.attempts_timed_out += 1
         if outcome not in NOT_RUN_OUTCOMES:
             request.may_have_run = True
         response = request.server_response
-        if outcome is Outcome.SUCCEEDED and request.client is not None and response is not None:
+        has_answer = outcome is Outcome.SUCCEEDED and request.client is not None
+        if has_answer and response is not None:
             self.answer(request, *response)
-        self.report_attempt(attempt, outcome)
+            self._cancel_overdue_attempts(request)
+        if attempt.is_overdue:
+            self._overdue_attempt_ended(request, outcome)
+        else:
+            self.report_attempt(attempt, outcome)
+
+    # events: attempts without a response at their time-out
+
+    def attempt_timed_out(self, attempt: Attempt[ProxyRequest]) -> None:
+        """Reports a time-out to the engine; the server may answer until the request's deadline.
+
+        The engine may replace the attempt by a retry. A server may be at work all the same, so its
+        connection stays open until the request is answered.
+        """
+        request = attempt.request
+        is_sent = attempt.connection is not None and attempt.connection.may_have_run
+        if not is_sent or self.now() >= request.deadline:
+            super().attempt_timed_out(attempt)
+            return
+        attempt.is_overdue = True
+        request.may_have_run = True
+        self.failures.attempts_timed_out += 1
+        self.set_attempt_timer(attempt, request.deadline, super().attempt_timed_out)
+        self.pool.close_idle_since(attempt)
+        self.report_attempt(attempt, Outcome.NO_RESPONSE)
+
+    def _overdue_attempt_ended(self, request: ProxyRequest, outcome: Outcome) -> None:
+        """Ends a request that has its answer, or for which no server can answer any more."""
+        if request.is_abandoned:
+            self.abandoned.attempt_ended(outcome is Outcome.CANCELLED)
+        if outcome is Outcome.SUCCEEDED:
+            # to the engine, as if the client had left: the retry, if any, is cancelled
+            self.handle_event(ClientDisconnected(request.id))
+        elif request.is_given_up and request.client is not None:
+            self._answer_possibly_run(request)
+        self.forget_request(request)
+
+    def _cancel_overdue_attempts(self, request: ProxyRequest) -> None:
+        """Cancels the overdue attempts of a request to which no answer is owed any more."""
+        for attempt in request.attempts:
+            if attempt is not None and attempt.is_overdue:
+                self.pool.give_up(attempt, Ending.CALLED_OFF)
+
+    def client_disconnected(self, request: ProxyRequest) -> None:
+        """Abandons a request whose client disconnected, and cancels its overdue attempts."""
+        super().client_disconnected(request)
+        self._cancel_overdue_attempts(request)
 
     # actions of the decision engine
 
@@ -337,7 +383,13 @@
         self.counter_client.increment(action)
 
     def _answer_possibly_run(self, request: ProxyRequest) -> None:
-        """Answers a request that may have run, with a server's response if one was received."""
+        """Answers a request that may have run, with a server's response if one was received.
+
+        While an overdue attempt may still be answered, the request waits for it.
+        """
+        if any(request.attempts):
+            request.is_given_up = True
+            return
         if request.server_response is not None:
             self.answer(request, *request.server_response)
             return
--- a/loomstand/proxy/request.py
+++ b/loomstand/proxy/request.py
@@ -52,6 +52,8 @@
         attempted_endpoints: Indices of the servers to which it was sent.
         may_have_run: Whether an attempt ended without proof that the request was not executed.
         needs_new_connection: Whether it must not be sent on a reused connection.
+        is_given_up: Whether the decision engine has ended it, while a server may still answer an
+            overdue attempt.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "attempted_endpoints",
         "deadline_remaining_ms",
         "excluded_fields",
+        "is_given_up",
         "may_have_run",
         "needs_new_connection",
         "request_id",
@@ -96,6 +99,7 @@
         self.attempted_endpoints: tuple[int, ...] = ()
         self.may_have_run = False
         self.needs_new_connection = False
+        self.is_given_up = False
 
     @property
     def host(self) -> bytes:
@@ -158,6 +162,11 @@
         super().__init__(request, number, endpoint_id, sent_at, expires_at)
         self.instance_id = instance_id.encode()
 
+    @property
+    def server_deadline(self) -> int:
+        """Time until which the server may work on it: its time-out is only that of a retry."""
+        return self.request.deadline
+
     def raw(self, timeout_ms: int) -> bytes:
         """Returns the encoded request; `timeout_ms` is the time limit for the response in ms."""
         return self.request.encode_for(self.instance_id, timeout_ms)
--- a/tests/test_golden_wire.py
+++ b/tests/test_golden_wire.py
@@ -11,6 +11,7 @@
 import hashlib
 import io
 import json
+import re
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -1161,6 +1162,38 @@
     assert statuses("wire-proxy.json") >= common | {401, 500, 504}
 
 
+def without_remaining_time(text: str) -> str:
+    return re.sub("(loomstand-deadline-remaining: )[0-9]+", r"\1N", text)
+
+
+def remaining_ms(exchange: dict[str, Any]) -> list[int]:
+    return [int(ms) for ms in re.findall("loomstand-deadline-remaining: ([0-9]+)", str(exchange))]
+
+
+def test_the_proxy_differs_from_its_former_recording_in_time_for_idempotent_requests_only() -> None:
+    """Since incident 62 a server gets all of the time, and silence ends with it, not before."""
+    former, current = load("wire-proxy-former.json"), load("wire-proxy.json")
+    assert former.keys() == current.keys()
+    later_failures = []
+    for name, exchange in current.items():
+        was = former[name]
+        assert without_remaining_time(str(exchange["sent on"])) == without_remaining_time(
+            str(was["sent on"])
+        )
+        assert exchange["end"] == was["end"]
+        pairs = zip(remaining_ms(was), remaining_ms(exchange), strict=True)
+        is_repeatable = not any(
+            "/once/x" in sent or "/single/x" in sent for _, sent in was["sent on"]
+        )
+        assert all(before < after if is_repeatable else before == after for before, after in pairs)
+        if exchange["answer"] != was["answer"]:
+            later_failures.append((name, was["answer"][:12], exchange["answer"][:12]))
+    assert later_failures == [
+        ("GET /a/x, silent", "HTTP/1.1 502", "HTTP/1.1 504"),
+        ("a short time", "HTTP/1.1 502", "HTTP/1.1 504"),
+    ]
+
+
 FIXTURES: dict[str, Callable[[], Any]] = {
     "wire-bad-lines.json": invalid_lines,
     "wire-actions.json": action_lines,
