--- a/loomstand/proxy/admission_adapter.py
+++ b/loomstand/proxy/admission_adapter.py
@@ -378,18 +378,29 @@
             self._answer_possibly_run(request)
             self.forget_request(request)
 
+    def answer_unfinished(self) -> None:
+        """Answers all requests that wait for a server, as this process is about to end."""
+        for request in list(self.requests.values()):
+            if request.client is not None:
+                self._answer_failure(request)
+                # to the engine, as if the client had left
+                self.handle_event(ClientDisconnected(request.id))
+                self._cancel_overdue_attempts(request)
+                self.forget_request(request)
+
     def increment_counter(self, action: IncrementCounter) -> None:
         """Increments a counter at the counting registry."""
         self.counter_client.increment(action)
 
     def _answer_possibly_run(self, request: ProxyRequest) -> None:
-        """Answers a request that may have run, with a server's response if one was received.
-
-        While an overdue attempt may still be answered, the request waits for it.
-        """
+        """Answers a request that may have run, unless an overdue attempt may still be answered."""
         if any(request.attempts):
             request.is_given_up = True
-            return
+        else:
+            self._answer_failure(request)
+
+    def _answer_failure(self, request: ProxyRequest) -> None:
+        """Answers a request that may have run, with a server's response if one was received."""
         if request.server_response is not None:
             self.answer(request, *request.server_response)
             return
--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -33,6 +33,9 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 # After SIGTERM, new connections arrive until two readiness checks, one second apart, have failed.
 LINGER_SECONDS = 2.5
+# Share of the grace period after which requests aren't waited for: SIGKILL would close their
+# connections. A server that is at work until the last sixth of the period is waited for.
+ANSWER_BY_SHARE = 11 / 12
 
 
 class Proxy(AdmissionAdapter):
@@ -100,6 +103,13 @@
             if isinstance(error, Exception):
                 logging.error("proxy: credit_client_failed error=%r", error)
 
+    def stop(self) -> None:
+        """Begins a graceful shutdown; what is owed is answered before the grace period ends."""
+        if not self.listener.stopping:
+            grace_seconds = self.settings.bounds.grace_period_seconds
+            self.loop.call_later(ANSWER_BY_SHARE * grace_seconds, self.answer_unfinished)
+        super().stop()
+
     def linger_seconds(self) -> float:
         """Returns the seconds for which new connections are accepted after `stop`."""
         return LINGER_SECONDS
