Soak: rolls of busy proxies, retries, crossing closes, and requests given up

Change: a second route with a short target and two attempts; LOST also for a failure of the proxy's own while a server is at work; proxies restarted one after the other while they serve (drawn apart, so that the other steps of a seed stay); clients that try again, half of them at one proxy a zone; 2 ms from a client to a proxy. Clients are a module of their own.

--- a/loomstand/testing/simulation/http_log.py
+++ b/loomstand/testing/simulation/http_log.py
@@ -163,6 +163,11 @@
     body: bytes = b""
     at: float = 0.0
 
+    @property
+    def ending(self) -> str:
+        """The status, or how the connection ended without one."""
+        return str(self.status) if self.status else self.end
+
     @property
     def is_own_failure(self) -> bool:
         """Whether it is a failure that no server sent."""
--- a/loomstand/testing/soak/checks.py
+++ b/loomstand/testing/soak/checks.py
@@ -78,6 +78,19 @@
     return lost
 
 
+def given_up_requests(request_log: RequestLog, was_disturbed: WasDisturbed) -> list[str]:
+    """LOST: a proxy answered with a failure of its own although a server was at work.
+
+    It had closed the connection to the server before the request's time was up. Requests whose
+    proxy was killed or frozen in that time are skipped.
+    """
+    return [
+        f"LOST: {describe(request, reply)}, given up while a server was at work"
+        for request, reply in request_log.given_up(LOSS_SLACK_SECONDS)
+        if not was_disturbed(request.front[0], request.sent, reply.at, False)
+    ]
+
+
 def abandoned_runs(request_log: RequestLog, was_disturbed: WasDisturbed) -> list[str]:
     """GONE: a server still worked on an idempotent request long after its client had left."""
     late = request_log.runs_after_departure(DEPARTURE_SECONDS + LOAD_SLACK_SECONDS)
@@ -175,4 +188,4 @@
     request_text = (
         f"{request.id} {request.method} at {request.front[0]}, sent at {request.sent:.3f}"
     )
-    return f"{request_text}, {reply.end} after {seconds:.3f} s"
+    return f"{request_text}, {reply.ending} after {seconds:.3f} s"
--- a/loomstand/testing/soak/cluster.py
+++ b/loomstand/testing/soak/cluster.py
@@ -28,6 +28,10 @@
 # client has disconnected; the target latency is long enough that no attempt times out before that.
 SLOW_SECONDS = 2.5
 PATIENT_TARGET = "4000ms"
+# An attempt on the other idempotent route may time out while a slow server works on it.
+IMPATIENT_TARGET = "800ms"
+IMPATIENT_ATTEMPTS = 2
+CLIENT_DELAY_SECONDS = 0.002  # from a client's write until the proxy's machine has it
 READINESS_PERIOD_SECONDS = 1.0
 MAX_READINESS_MISSES = 2  # a proxy gets no new connections after this many failed checks
 SETTINGS = """self.node_name={name}
@@ -95,6 +99,12 @@
         self.sent_version = self.acknowledged_version = 0
         self.begin_draft([*SERVICES])
         self.route("a", "alpha", target_latency=PATIENT_TARGET)
+        self.route(
+            "quick",
+            "beta",
+            target_latency=IMPATIENT_TARGET,
+            maximum_attempts=IMPATIENT_ATTEMPTS,
+        )
 
     def shape(self, seconds: float) -> ClusterShape:
         """Returns the targets that a schedule is drawn for."""
@@ -102,10 +112,17 @@
         proxies = tuple(f"proxy-{ip}" for ip in self.proxy_ips)
         return ClusterShape(proxies, machines, tuple(self.servers), seconds)
 
-    def client(self) -> Client:
-        """Returns a new client."""
+    def client(self, home: Address | None = None) -> Client:
+        """Returns a new client; with a `home`, its proxy whenever that gets new connections."""
         rng = Random(self.rng.getrandbits(64))
-        return Client(self._streams(), self.request_log, rng, lambda: self.routed_proxies)  # type: ignore[arg-type]
+
+        def fronts() -> list[Address]:
+            return (
+                [home] if home is not None and home in self.routed_proxies else self.routed_proxies
+            )
+
+        streams = LoopbackStreams(self._ip(9, 0), CLIENT_DELAY_SECONDS)
+        return Client(streams, self.request_log, rng, fronts)  # type: ignore[arg-type]
 
     async def start(self) -> None:
         """Starts all processes, sends the first configuration and waits until proxies are ready.
--- a/loomstand/testing/soak/loopback.py
+++ b/loomstand/testing/soak/loopback.py
@@ -59,11 +59,39 @@
     raise OSError("all loopback networks are in use")
 
 
+class DelayedTransport:
+    """A transport whose bytes and close reach the peer later, so that both may cross its own."""
+
+    def __init__(self, transport: asyncio.Transport, delay_seconds: float) -> None:
+        """Creates a transport that writes to `transport` after `delay_seconds`."""
+        self._transport = transport
+        self._delay_seconds = delay_seconds
+        self._loop = asyncio.get_running_loop()
+
+    def write(self, data: bytes) -> None:
+        """See `asyncio.Transport`."""
+        self._loop.call_later(self._delay_seconds, self._transport.write, data)
+
+    def close(self) -> None:
+        """See `asyncio.Transport`."""
+        self._loop.call_later(self._delay_seconds, self._transport.close)
+
+    def abort(self) -> None:
+        """See `asyncio.Transport`."""
+        self._loop.call_later(self._delay_seconds, self._transport.abort)
+
+
 @dataclass(slots=True)
 class LoopbackStreams:
-    """Replaces the `Streams` of the simulation by TCP connections from one loopback address."""
+    """Replaces the `Streams` of the simulation by TCP connections from one loopback address.
+
+    Attributes:
+        host: The address.
+        delay_seconds: How long written bytes take to the peer.
+    """
 
     host: str
+    delay_seconds: float = 0.0
 
     async def open(
         self, make: Callable[[], HttpConnection], address: Address, within: float
@@ -84,6 +112,9 @@
             raise
         except OSError as error:
             raise ConnectionRefusedError(str(error)) from error
+        if self.delay_seconds:
+            no_tcp: Any = DelayedTransport(connection.transport, self.delay_seconds)  # type: ignore[arg-type]
+            connection.transport = no_tcp
         return connection
 
     async def listen(
--- a/loomstand/testing/soak/processes.py
+++ b/loomstand/testing/soak/processes.py
@@ -23,6 +23,8 @@
 PR_SET_PDEATHSIG = 1
 SIGNAL_MASKS = ("SigIgn:", "SigCgt:")  # ignored and caught signals, in /proc/PID/status
 SIGNAL_POLL_SECONDS = 0.01
+BUSY_POLL_SECONDS = 0.001
+BUSY_WAIT_SECONDS = 0.5
 # Parts of log lines that indicate a fault of the programs themselves (docs/on-call.md).
 FAULT_WORDS = (
     "Traceback",
@@ -158,6 +160,13 @@
         """Sends SIGTERM, and SIGKILL after the grace period; then starts the process again."""
         await self._stop(signal.SIGTERM, grace_seconds, restart)
 
+    async def terminate_busy(self, is_busy: Callable[[], bool], grace_seconds: float) -> None:
+        """Sends SIGTERM as soon as `is_busy` holds, at most `BUSY_WAIT_SECONDS` later."""
+        until = self._now() + BUSY_WAIT_SECONDS
+        while not is_busy() and self._now() < until:  # noqa: ASYNC110 - no event to wait for
+            await asyncio.sleep(BUSY_POLL_SECONDS)
+        await self.terminate(grace_seconds)
+
     async def terminate_again(self) -> None:
         """Sends another SIGTERM to a process that is already stopping; otherwise does nothing."""
         if self.is_terminating:
--- a/loomstand/testing/soak/run.py
+++ b/loomstand/testing/soak/run.py
@@ -14,34 +14,25 @@
 
 import psutil
 
-from loomstand.testing.simulation.http_log import Reply
 from loomstand.testing.soak.checks import (
     DRAIN_SECONDS,
     CoreKill,
     Drain,
     abandoned_runs,
+    given_up_requests,
     late_arrivals,
     lost_requests,
     needless_overdue,
 )
+from loomstand.testing.soak.clients import SoakClients
 from loomstand.testing.soak.cluster import FRONT_PORT, SoakCluster
-from loomstand.testing.soak.loopback import LONG_BODY_BYTES
+from loomstand.testing.soak.processes import ProgramProcess
 from loomstand.testing.soak.schedule import Action, Step, draw_schedule
 from loomstand.testing.soak.timing import GRACE_SECONDS
 
-IDEMPOTENT_SHARE = 0.6  # of the requests
 KEPT_ROUTES = 2  # with more added routes than this, a change may remove the oldest
 REMOVED_ROUTE_SHARE = 0.5  # of the changes that may remove a route
 DRAIN_SLACK_SECONDS = 0.3  # a draining server serves this much longer than required
-CLIENTS = 24  # concurrent, each with its own connections
-THINK_SECONDS = (0.0, 0.15)  # range of a client's pause between two requests
-REUSED_CONNECTION_SHARE = 0.7  # of the requests, if there is an open connection
-SHORT_BODY = b"body " * 20
-LONG_BODY = bytes(LONG_BODY_BYTES)
-MAX_LONG_REQUESTS = 4  # at a time
-TIMEOUT_SECONDS = 5.0  # of a request; clients send it with the request
-PATIENCE_SECONDS = (0.01, 0.3)  # an impatient client disconnects after a time in this range
-IMPATIENT_SHARE = 0.5  # of the requests, during the action HURRY
 CHANGE_TIMEOUT_SECONDS = 20.0  # for all attempts of the operator to send one change
 # From the last disturbance to the final checks: the core catches up, changes come into force.
 CALM_SECONDS = 8.0
@@ -113,10 +104,8 @@
         self.report = SoakReport(options.seed)
         self.rng = Random(options.seed ^ 0x5EED)
         self.drains: list[Drain] = []
-        self.impatient_until = -inf
         self.core_kill: CoreKill | None = None
-        self.long_requests = 0  # those in progress
-        self.is_over = False
+        self.clients = SoakClients(self.cluster, self.report.endings)
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> SoakReport:
@@ -126,13 +115,13 @@
             await cluster.start()
             readiness = asyncio.create_task(cluster.watch_readiness())
             await asyncio.sleep(0.5)
-            clients = [asyncio.create_task(self.run_client()) for _ in range(CLIENTS)]
+            clients = self.clients.start()
             self.measure()
             await self.disturb(
                 draw_schedule(self.options.seed, cluster.shape(self.options.seconds))
             )
             await asyncio.sleep(CALM_SECONDS)
-            self.is_over = True
+            self.clients.is_over = True
             await asyncio.gather(*clients)
             for process in cluster.processes.values():
                 process.check_running()
@@ -160,17 +149,25 @@
         process = self.cluster.processes.get(step.target)
         if process is None:
             return self.carry_out_on_cluster(step)
+        return self.carry_out_on_process(step, process)
+
+    async def carry_out_on_process(self, step: Step, process: ProgramProcess) -> None:
+        """Carries out a step that concerns a process."""
         match step.action:
             case Action.TERMINATE:
-                return process.terminate(GRACE_SECONDS)
+                await process.terminate(GRACE_SECONDS)
+            case Action.TERMINATE_BUSY:
+                await process.terminate_busy(
+                    lambda: self.clients.is_serving(process.ip), GRACE_SECONDS
+                )
             case Action.KILL:
-                return process.kill()
+                await process.kill()
             case Action.FREEZE:
-                return process.freeze(step.seconds)
+                await process.freeze(step.seconds)
             case Action.HANG_UP:
-                return process.hang_up()
+                await process.hang_up()
             case _:
-                return process.terminate_again()
+                await process.terminate_again()
 
     async def carry_out_on_cluster(self, step: Step) -> None:
         """Carries out a step that concerns the operator, a server or the clients."""
@@ -189,7 +186,7 @@
                 await self.make_faulty(step.target, "early", step.seconds)
             case _:
                 until = asyncio.get_running_loop().time() + step.seconds
-                self.impatient_until = max(self.impatient_until, until)
+                self.clients.impatient_until = max(self.clients.impatient_until, until)
 
     async def change(self) -> None:
         """Sends a configuration with an added route, and sometimes without the oldest added one."""
@@ -235,47 +232,6 @@
         await asyncio.sleep(seconds)
         server.fault = ""
 
-    # clients
-
-    async def run_client(self) -> None:
-        """Runs a client: one request after the other, mostly on open connections.
-
-        A client uses an open connection until it ends, even if the platform no longer sends new
-        connections to that proxy.
-        """
-        client = self.cluster.client()
-        rng = client.rng
-        while not self.is_over:
-            open_fronts = [
-                front for front, connection in client.idle.items() if not connection.closed_reason
-            ]
-            if open_fronts and rng.random() < REUSED_CONNECTION_SHARE:
-                front = rng.choice(open_fronts)
-            else:
-                front = rng.choice(self.cluster.routed_proxies)
-            is_idempotent = rng.random() < IDEMPOTENT_SHARE
-            method, path = ("GET", "/a/x") if is_idempotent else ("POST", "/once/x")
-            is_long = not is_idempotent and self.may_send_long_body()
-            body = LONG_BODY if is_long else b"" if is_idempotent else SHORT_BODY
-            request = client.new_request(
-                method, "town.example", path, "key-of-ann", body, is_idempotent
-            )
-            may_be_impatient = asyncio.get_running_loop().time() < self.impatient_until
-            is_impatient = may_be_impatient and rng.random() < IMPATIENT_SHARE
-            patience = rng.uniform(*PATIENCE_SECONDS) if is_impatient else inf
-            self.long_requests += is_long
-            reply = await client.send_once(request, front, TIMEOUT_SECONDS, patience)
-            self.long_requests -= is_long
-            self.report.endings[ending(reply)] += 1
-            await asyncio.sleep(rng.uniform(*THINK_SECONDS))
-        for connection in client.idle.values():
-            connection.transport.close()
-
-    def may_send_long_body(self) -> bool:
-        """Returns whether the next request may be long: a few at a time, if a server is early."""
-        is_any_early = any(server.fault == "early" for server in self.cluster.servers.values())
-        return is_any_early and self.long_requests < MAX_LONG_REQUESTS
-
     # checks
 
     def measure(self) -> None:
@@ -310,7 +266,7 @@
             )
             reply = await client.send_once(request, (ip, FRONT_PORT))
             if reply.status != HTTPStatus.OK:
-                faults.append(f"CONFIG: {ip} answers {ending(reply)} on the newest route {newest}")
+                faults.append(f"CONFIG: {ip} answers {reply.ending} on the newest route {newest}")
         for _ in range(FINAL_REQUESTS):
             front = (self.rng.choice(cluster.proxy_ips), FRONT_PORT)
             request = client.new_request(
@@ -354,6 +310,7 @@
             faults.extend(request_log.violations)
         for checked in (
             lost_requests(request_log, self.was_disturbed),
+            given_up_requests(request_log, self.was_disturbed),
             abandoned_runs(request_log, self.was_disturbed),
             late_arrivals(request_log, self.drains, self.was_disturbed, self.core_kill),
         ):
@@ -368,11 +325,6 @@
         return process is None or process.was_disturbed(since, until, planned_too)
 
 
-def ending(reply: Reply) -> str:
-    """Returns the status of a request, or how its connection ended without one."""
-    return str(reply.status) if reply.status else reply.end
-
-
 def run_seed(options: SoakOptions) -> SoakReport:
     """Runs one seed in its own folder."""
 
--- a/loomstand/testing/soak/schedule.py
+++ b/loomstand/testing/soak/schedule.py
@@ -23,6 +23,8 @@
 CORE_KILL_SHARE = 0.5  # of the runs
 LEAVE_SHARE = 0.7  # of the runs
 EARLY_SHARE = 0.5  # of the runs
+ROLL_SHARE = 0.6  # of the runs
+MAX_ROLLS = 2  # in a run
 # From a kill of the core to a server's first call to leave; it repeats the call until the core is
 # back.
 LEAVE_OFFSET_SECONDS = (-0.2, 1.0)
@@ -33,6 +35,7 @@
     """Kind of a disturbance."""
 
     TERMINATE = auto()  # SIGTERM, then restart
+    TERMINATE_BUSY = auto()  # SIGTERM as soon as it has been sent a request, then restart
     KILL = auto()  # SIGKILL, then restart
     HANG_UP = auto()  # changes the settings file and sends SIGHUP
     SIGNAL_TERMINATE = auto()  # sends another SIGTERM to a process that may be stopping
@@ -108,6 +111,10 @@
         steps += _leaves(added_rng, shape, core_steps)
     if added_rng.random() < EARLY_SHARE:
         steps += _early_servers(added_rng, shape)
+    roll_rng = Random(f"{seed} rolls")  # drawn apart likewise
+    if roll_rng.random() < ROLL_SHARE:
+        for _ in range(roll_rng.randint(1, MAX_ROLLS)):
+            steps += _roll(roll_rng, shape)
     return sorted(
         (step for step in steps if step.at < shape.seconds),
         key=lambda step: (step.at, step.target, step.action.name),
@@ -138,6 +145,16 @@
             yield Step(at + rng.uniform(0.01, 1.0), name, Action.SIGNAL_TERMINATE)
 
 
+def _roll(rng: Random, shape: ClusterShape) -> Iterator[Step]:
+    """Restarts all proxies one after the other while they serve; servers are slow meanwhile."""
+    targets = rng.sample(shape.proxies, len(shape.proxies))
+    moments = list(_moments(rng, shape, len(targets)))
+    for at, name in zip(moments, targets, strict=True):
+        yield Step(at, name, Action.TERMINATE_BUSY)
+    for name in _sample_names(rng, shape.servers):
+        yield Step(moments[0], name, Action.SLOW, moments[-1] - moments[0] + START_SECONDS)
+
+
 def _kills(rng: Random, shape: ClusterShape) -> Iterator[Step]:
     targets = _sample_names(rng, shape.proxies)
     for at, name in zip(_moments(rng, shape, len(targets)), targets, strict=True):
--- a/tests/testing/soak/test_checks.py
+++ b/tests/testing/soak/test_checks.py
@@ -9,6 +9,7 @@
     CoreKill,
     Drain,
     abandoned_runs,
+    given_up_requests,
     late_arrivals,
     lost_requests,
     needless_overdue,
@@ -66,6 +67,30 @@
     assert lost_requests(log, killed) == []
 
 
+STAMP = {"loomstand-response-stamp": "3e1b.r1.0"}
+
+
+@pytest.mark.parametrize(
+    ("reply", "was_cut", "given_up"),
+    [
+        (Reply(502, at=10.7), True, 1),
+        (Reply(504, at=10.7), True, 1),
+        (Reply(502, at=10.7), False, 0),  # the server broke off, or its run ended
+        (Reply(200, fields=STAMP, at=10.7), True, 0),  # a retry was answered
+        (Reply(500, fields=STAMP, at=10.7), True, 0),  # the server of a retry failed
+        (Reply(504, at=12.9), True, 0),  # at the deadline
+        (Reply(0, "silent", at=10.7), True, 0),  # the client left
+    ],
+)
+def test_a_failure_in_place_of_a_working_servers_answer_is_a_loss(reply, was_cut, given_up):
+    log = build_log(reply, ran=True, ended=10.7)
+    log.requests["r1"].expires_at = 13.0
+    log.arrivals[0].was_cut = was_cut
+    assert len(given_up_requests(log, undisturbed)) == given_up
+    assert len(given_up_requests(log, restarted)) == given_up
+    assert given_up_requests(log, killed) == []
+
+
 @pytest.mark.parametrize(("ended", "late"), [(10.3, 0), (11.4, 0), (12.0, 1)])
 def test_a_run_long_after_its_client_left_is_found(ended, late):
     log = build_log(Reply(0, "silent", at=10.2), ran=True, ended=ended, left_at=10.2)
--- a/tests/testing/soak/test_schedule.py
+++ b/tests/testing/soak/test_schedule.py
@@ -89,3 +89,25 @@
         overlapping += any(gap < 0.1 for gap in gaps)
     assert drawn == set(Action)
     assert overlapping > 40
+
+
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_a_roll_restarts_proxies_one_after_the_other_while_servers_are_slow(seed):
+    steps = draw_schedule(seed, SHAPE)
+    stopped = [step for step in steps if step.action is Action.TERMINATE_BUSY]
+    assert {step.target for step in stopped} <= set(SHAPE.proxies)
+    for step in stopped:
+        assert any(
+            slow.action is Action.SLOW and slow.at <= step.at < slow.at + slow.seconds
+            for slow in steps
+        )
+
+
+def test_rolls_are_drawn_and_reach_every_proxy():
+    schedules = [draw_schedule(seed, SHAPE) for seed in range(1, 31)]
+    rolled = [
+        {step.target for step in steps if step.action is Action.TERMINATE_BUSY}
+        for steps in schedules
+    ]
+    assert sum(targets == set(SHAPE.proxies) for targets in rolled) > 10
+    assert set() in rolled
