Soak: pass over a working server only at the very end of a proxy's grace period

The rule doesn't count a server that is still at work in the last sixth of the period on a request sent no later than 3 s after SIGTERM.

--- a/loomstand/testing/soak/checks.py
+++ b/loomstand/testing/soak/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from loomstand.testing.simulation.http_log import ClientRequest, Reply, RequestLog, ServerArrival
@@ -14,6 +14,7 @@
 LOAD_SLACK_SECONDS = 1.0
 DEPARTURE_SECONDS = 0.5  # GONE: a server may work on a request this long after its client left
 LOSS_SLACK_SECONDS = 0.2  # LOST: a request not yet forwarded may end this long after it was sent
+LATEST_SENDING_SECONDS = 3.0  # LOST: after SIGTERM, for a server at work at the grace period's end
 DRAIN_SECONDS = 2.5  # DRAIN: requests may reach a server this long after its draining
 CONTACT_SECONDS = 3.0  # DRAIN: a disturbance of the proxy this long before an arrival excuses it
 NO_ANSWER = {"closed", "reset"}  # endings of a connection that the proxy closed without an answer
@@ -78,19 +79,38 @@
     return lost
 
 
-def given_up_requests(request_log: RequestLog, was_disturbed: WasDisturbed) -> list[str]:
+def given_up_requests(
+    request_log: RequestLog, was_disturbed: WasDisturbed, terminated_at: Mapping[str, list[float]]
+) -> list[str]:
     """LOST: a proxy answered with a failure of its own although a server was at work.
 
     It had closed the connection to the server before the request's time was up. Requests whose
-    proxy was killed or frozen in that time are skipped.
+    proxy was killed or frozen in that time are skipped, and those that it no longer waits for at
+    the end of its grace period.
+
+    Args:
+        request_log: Log of the requests.
+        was_disturbed: Whether a proxy was disturbed.
+        terminated_at: By address of a proxy, when it got SIGTERM.
     """
     return [
         f"LOST: {describe(request, reply)}, given up while a server was at work"
         for request, reply in request_log.given_up(LOSS_SLACK_SECONDS)
         if not was_disturbed(request.front[0], request.sent, reply.at, False)
+        and not any(
+            is_end_of_grace(request, reply, moment)
+            for moment in terminated_at.get(request.front[0], ())
+        )
     ]
 
 
+def is_end_of_grace(request: ClientRequest, reply: Reply, terminated_at: float) -> bool:
+    """Returns whether a request, sent early enough, ended in the last sixth of a grace period."""
+    is_early = request.sent <= terminated_at + LATEST_SENDING_SECONDS
+    seconds = reply.at - terminated_at
+    return is_early and GRACE_SECONDS * 5 / 6 <= seconds <= GRACE_SECONDS
+
+
 def abandoned_runs(request_log: RequestLog, was_disturbed: WasDisturbed) -> list[str]:
     """GONE: a server still worked on an idempotent request long after its client had left."""
     late = request_log.runs_after_departure(DEPARTURE_SECONDS + LOAD_SLACK_SECONDS)
--- a/loomstand/testing/soak/run.py
+++ b/loomstand/testing/soak/run.py
@@ -310,7 +310,7 @@
             faults.extend(request_log.violations)
         for checked in (
             lost_requests(request_log, self.was_disturbed),
-            given_up_requests(request_log, self.was_disturbed),
+            given_up_requests(request_log, self.was_disturbed, self.terminations()),
             abandoned_runs(request_log, self.was_disturbed),
             late_arrivals(request_log, self.drains, self.was_disturbed, self.core_kill),
         ):
@@ -319,6 +319,17 @@
             faults.extend(process.check_log())
             faults.extend(needless_overdue(request_log, process.ip, process.overdue))
 
+    def terminations(self) -> dict[str, list[float]]:
+        """Returns when each proxy got SIGTERM, by its address."""
+        return {
+            ip: [
+                disturbance.began
+                for disturbance in self.cluster.processes[f"proxy-{ip}"].disturbances
+                if disturbance.is_planned
+            ]
+            for ip in self.cluster.proxy_ips
+        }
+
     def was_disturbed(self, ip: str, since: float, until: float, planned_too: bool) -> bool:
         """See `checks.WasDisturbed`."""
         process = self.cluster.processes.get(f"proxy-{ip}")
