Proxy: end the wait for servers at the poll for pending answers, without a timer

Change: the poll that looks for pending answers every 20 ms after the listener's close asks the time.

--- a/loomstand/proxy/program.py
+++ b/loomstand/proxy/program.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from math import inf
 from random import Random
 
 from absl import logging
@@ -46,6 +47,7 @@
         shared_clock: The clock that determines the interval in counter names.
         client_limits: The limits on clients' connections.
         readiness: The readiness endpoint for the platform.
+        answer_by: Loop time until which requests wait for servers; infinite before `stop`.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.sessions = Sessions(settings, network, self.loop.time, rng, self)
         self.readiness = ReadinessEndpoint(lambda: self.is_ready, arrival_clock, streams)
         self.shared_clock = SharedClock()
+        self.answer_by = inf
         self.counter_client = CounterClient(
             self.sessions, self.loop, self.now, self.counter_replied
         )
@@ -107,9 +110,15 @@
         """Begins a graceful shutdown; what is owed is answered before the grace period ends."""
         if not self.listener.stopping:
             grace_seconds = self.settings.bounds.grace_period_seconds
-            self.loop.call_later(ANSWER_BY_SHARE * grace_seconds, self.answer_unfinished)
+            self.answer_by = self.loop.time() + ANSWER_BY_SHARE * grace_seconds
         super().stop()
 
+    def finish(self) -> None:
+        """Finishes once all is answered, and no longer waits for servers after `answer_by`."""
+        if self.loop.time() >= self.answer_by:
+            self.answer_unfinished()
+        super().finish()
+
     def linger_seconds(self) -> float:
         """Returns the seconds for which new connections are accepted after `stop`."""
         return LINGER_SECONDS
