Review: a proxy that froze breaks off requests after SIGTERM

Cause: a freeze counts as a late turn of the event loop, and shortens deadlines for seconds after it.

--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -31,6 +31,7 @@
 FIRST_NETWORK = 30
 LAST_NETWORK = 230
 HEARTBEAT_SECONDS = 1.5
+TRANSIT_SECONDS = 0.0014  # one way between zones (SYSTEM.md), which loopback doesn't have
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
@@ -420,13 +421,23 @@
 
 @dataclass(slots=True)
 class Arrival:
-    """A request that reached a server."""
+    """A request that reached a server.
+
+    Attributes:
+        at: When, in seconds of the record.
+        server: The server's id.
+        request_id: The request's id.
+        front: Address of the proxy that sent it.
+        has_run: Whether the server began work on it.
+        was_broken_off: Whether the proxy closed the connection while the server was at work.
+    """
 
     at: float
     server: str
     request_id: str
     front: str
-    has_run: bool
+    has_run: bool = False
+    was_broken_off: bool = False
 
 
 class Server:
@@ -552,6 +563,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Handles one request; returns whether the connection goes on."""
+        await asyncio.sleep(TRANSIT_SECONDS)
         request_id = fields.get("loomstand-request-id", "")
         front = writer.get_extra_info("peername")[0]
         expected = fields.get("loomstand-expected-instance", self.id)
@@ -561,7 +573,7 @@
         if self._busy.locked() and self._waiting >= self.queue_length:
             self._answer(writer, "503 Service Unavailable", request_id, "Loomstand-Not-Executed: 1")
             return True
-        arrival = Arrival(self.lab.record.now(), self.id, request_id, front, False)
+        arrival = Arrival(self.lab.record.now(), self.id, request_id, front)
         self.arrivals.append(arrival)
         self._waiting += 1
         try:
@@ -571,20 +583,27 @@
         try:
             arrival.has_run = True
             self.lab.record.write(f"server {self.id} ({self.state}): runs {request_id} of {front}")
-            seconds = self.work(start[1])
-            if fields.get("loomstand-deadline-remaining", "").isdigit():
-                seconds = min(seconds, int(fields["loomstand-deadline-remaining"]) / 1000)
+            work_seconds = self.work(start[1])
+            wait_ms = fields.get("loomstand-deadline-remaining", "")
+            wait_seconds = int(wait_ms) / 1000 if wait_ms.isdigit() else work_seconds
             closed = asyncio.create_task(reader.read(1))
-            done, _ = await asyncio.wait([closed], timeout=seconds)
+            done, _ = await asyncio.wait([closed], timeout=min(work_seconds, wait_seconds))
             if done:  # its caller has gone, and it drops the request
+                closed.exception()  # a reset
+                arrival.was_broken_off = True
+                self.lab.record.write(f"server {self.id}: {request_id} is broken off at work")
                 return False
             closed.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await closed
         finally:
             self._busy.release()
+        await asyncio.sleep(TRANSIT_SECONDS)
         stamp = f"Loomstand-Response-Stamp: {self.id}.{request_id}"
-        self._answer(writer, "200 OK", request_id, stamp, b"done by " + self.id.encode())
+        if work_seconds > wait_seconds:  # it ceases work at the value that it is given
+            self._answer(writer, "504 Gateway Timeout", request_id, stamp)
+        else:
+            self._answer(writer, "200 OK", request_id, stamp, b"done by " + self.id.encode())
         return True
 
     def _answer(
