--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -448,14 +448,16 @@
     one if a call isn't acknowledged within a second.
     """
 
-    def __init__(self, lab: Lab, service: str, number: int, work: Callable[[str], float]) -> None:
+    def __init__(
+        self, lab: Lab, service: str, number: int, work: Callable[[str], float], slots: int = 2
+    ) -> None:
         """Creates a server that doesn't run yet; `work` gives the seconds of work by path."""
         self.lab = lab
         self.service = service
         self.ip = lab.ip(3, number)
         self.zone = ZONES[number % len(ZONES)]
         self.work = work
-        self.slots = 2
+        self.slots = slots
         self.queue_length = 8
         self.id = f"i-{random.SystemRandom().getrandbits(32):08x}"
         self.state = "ready"
