--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -494,9 +494,13 @@
 
     # calls to the system
 
+    def next_sequence(self) -> int:
+        """Returns the `sequence` of the next call, higher than that of the last one."""
+        return self.sequence + 1
+
     async def call(self, call: str) -> bool:
         """Makes one call to its registry; after a failure the next call goes to another one."""
-        self.sequence += 1
+        self.sequence = self.next_sequence()
         status = {"state": self.state, "sequence": self.sequence, "cold_remaining": "0ms"}
         information = {
             "service_name": self.service,
@@ -536,6 +540,14 @@
         self._heartbeats = asyncio.create_task(self._beat_later())
         return acknowledged_at
 
+    async def leave(self) -> float:
+        """Says that it leaves, without draining, until that is acknowledged; returns when."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        while not await self.call("instances.leave"):
+            await asyncio.sleep(0.05)
+        return self.lab.record.now()
+
     async def _beat_later(self) -> None:
         await asyncio.sleep(HEARTBEAT_SECONDS)
         await self._beat()
